Serve a request from a document over real processes

Cause: the repository was empty. Change: the thin whole path. A document of sections goes through one compare-and-swap of the head row, spreads through two readers a zone and a tree, is built whole and activated; calls are routed with at most one hop, admitted by the owner of the upstream; moves step by evidence and are taken back; operators' commands; stand-ins for the platform, upstreams and faults at a node's ports.

--- /dev/null
+++ b/agaterelay/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/agaterelay/adapters/platform.py
@@ -0,0 +1,71 @@
+"""The platform's table service and object store over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from agaterelay.ports import PlatformError, Row
+
+REQUEST_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 4 << 20
+
+
+class PlatformClient:
+    """Speaks to both of the platform's services; one session a process."""
+
+    def __init__(self, table_url: str, objects_url: str, timeout_s: float) -> None:
+        self._table_url = table_url.rstrip("/")
+        self._objects_url = objects_url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Open the session; nothing is sent yet."""
+        self._session = aiohttp.ClientSession(timeout=self._timeout)
+
+    async def close(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _request(
+        self, method: str, url: str, body: bytes | None = None, **headers: str
+    ) -> tuple[int, bytes, str]:
+        if self._session is None:
+            raise PlatformError("the session is not open")
+        try:
+            async with self._session.request(
+                method, url, data=body, headers=headers
+            ) as response:
+                content = await response.content.read(MAX_BODY_BYTES + 1)
+                version = response.headers.get("Row-Version", "0")
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise PlatformError(f"{method} {url}: {type(error).__name__}") from error
+        if response.status >= 500 or response.status == 429:
+            raise PlatformError(f"{method} {url}: status {response.status}")
+        return response.status, content, version
+
+    async def read(self, name: str) -> Row | None:
+        """Return a row, None where there is none."""
+        status, body, version = await self._request("GET", f"{self._table_url}/{name}")
+        if status == 404:
+            return None
+        return Row(body, int(version))
+
+    async def write(self, name: str, value: bytes, expected_version: int) -> bool:
+        """Write a row if it still has the expected version."""
+        headers = {"If-Row-Version": str(expected_version)}
+        url = f"{self._table_url}/{name}"
+        status, _, _ = await self._request("PUT", url, value, **headers)
+        return status == 200
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, None where there is none."""
+        status, body, _ = await self._request("GET", f"{self._objects_url}/{name}")
+        return None if status == 404 else body
+
+    async def put(self, name: str, body: bytes) -> None:
+        """Store an object, over an earlier one of the same name."""
+        status, _, _ = await self._request("PUT", f"{self._objects_url}/{name}", body)
+        if status != 200:
+            raise PlatformError(f"PUT {name}: status {status}")
--- /dev/null
+++ b/agaterelay/cli/main.py
@@ -0,0 +1,36 @@
+"""The program's entry point.
+
+The node is started without the command line's libraries, which would cost each host
+memory for nothing.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+NODE_USAGE = "usage: agaterelay node --settings FILE"
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    arguments = sys.argv[1:]
+    if arguments[:1] == ["node"] and "--help" not in arguments:
+        sys.exit(run_node_command(arguments[1:]))
+    from agaterelay.cli.commands import run_command
+
+    run_command(arguments)
+
+
+def run_node_command(arguments: list[str]) -> int:
+    """Start the node; return its exit status."""
+    if len(arguments) != 2 or arguments[0] != "--settings":
+        print(NODE_USAGE, file=sys.stderr)
+        return 2
+    from agaterelay.node import run
+
+    return run(Path(arguments[1]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/agaterelay/core/commit.py
@@ -0,0 +1,277 @@
+"""Decide what a commit does: owners, lost races, lost answers, moves' first state.
+
+The order of revisions is made in one place only, the compare-and-swap of the head
+row. The functions here compute what to swap in; the caller swaps, and on a lost race
+reads again and asks again.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from datetime import datetime, timedelta
+
+import attrs
+
+from agaterelay.core.manifest import digest_of
+from agaterelay.core.model import (
+    ChangeRecord,
+    Finding,
+    Manifest,
+    Move,
+    MoveProgress,
+    Place,
+    Section,
+    SectionRef,
+    Snapshot,
+)
+from agaterelay.core.snapshot import ADMIN_OWNER, assemble
+
+CHANGES_KEPT = 128
+
+
+@attrs.frozen
+class Change:
+    """An owner's new text of one section.
+
+    ``base_digest`` is the digest of the section's body that the owner edited, empty
+    for a new section. An empty ``section`` value removes nothing: removal is asked
+    for with ``remove``.
+    """
+
+    change_id: str
+    section: Section
+    base_digest: str
+    remove: bool = False
+
+
+@attrs.frozen
+class Accepted:
+    """The change may be committed as this manifest."""
+
+    manifest: Manifest
+    record: ChangeRecord
+
+
+@attrs.frozen
+class AlreadyCommitted:
+    """The change is in an earlier revision; a repeated request changes nothing."""
+
+    record: ChangeRecord
+
+
+@attrs.frozen
+class Forbidden:
+    """The key is not the owner's."""
+
+    message: str
+
+
+@attrs.frozen
+class LostRace:
+    """Somebody else changed the same section since the owner read it."""
+
+    section: str
+    current_digest: str
+    other: ChangeRecord | None
+
+
+@attrs.frozen
+class Invalid:
+    """The document would not be valid with the change."""
+
+    findings: tuple[Finding, ...]
+
+
+Decision = Accepted | AlreadyCommitted | Forbidden | LostRace | Invalid
+
+
+def key_matches(key: str, key_sha256: str) -> bool:
+    """Return whether a key has the given hash, in time that tells nothing."""
+    return hmac.compare_digest(hashlib.sha256(key.encode()).hexdigest(), key_sha256)
+
+
+def body_of(section: Section) -> bytes:
+    """Return the bytes under which a section is stored."""
+    return section.text.encode()
+
+
+def plan_commit(
+    snapshot: Snapshot,
+    change: Change,
+    key: str,
+    admin_key_sha256: str,
+    now: datetime,
+) -> Decision:
+    """Decide on a change against the newest revision.
+
+    Args:
+        snapshot: The newest committed revision.
+        change: What the owner wants.
+        key: The key that came with it.
+        admin_key_sha256: The hash of the administrators' key, from the settings.
+        now: The time of the commit.
+    """
+    for record in snapshot.manifest.changes:
+        if record.change_id == change.change_id:
+            return AlreadyCommitted(record)
+    references = {item.name: item for item in snapshot.manifest.sections}
+    current = references.get(change.section.name)
+    forbidden = _check_owner(snapshot, change, current, key, admin_key_sha256)
+    if forbidden is not None:
+        return forbidden
+    current_digest = current.digest if current else ""
+    if change.base_digest != current_digest:
+        other = _last_change(snapshot.manifest, change.section.name)
+        return LostRace(change.section.name, current_digest, other)
+    return _plan_accepted(snapshot, change, now)
+
+
+def _check_owner(
+    snapshot: Snapshot,
+    change: Change,
+    current: SectionRef | None,
+    key: str,
+    admin_key_sha256: str,
+) -> Forbidden | None:
+    """Check the key against the owner before the change, or of a new section."""
+    owner = current.owner if current else change.section.owner
+    expected = admin_key_sha256
+    if owner != ADMIN_OWNER:
+        known = snapshot.owners.get(owner)
+        if known is None:
+            return Forbidden(f"owner {owner!r} is not in the document")
+        expected = known.key_sha256
+    if not key_matches(key, expected):
+        return Forbidden(
+            f"section {change.section.name!r} belongs to owner {owner!r}, "
+            "and the key is not theirs"
+        )
+    return None
+
+
+def _last_change(manifest: Manifest, section: str) -> ChangeRecord | None:
+    records = [item for item in manifest.changes if item.section == section]
+    return records[-1] if records else None
+
+
+def _plan_accepted(snapshot: Snapshot, change: Change, now: datetime) -> Decision:
+    sections = {item.name: item for item in snapshot.sections}
+    references = {item.name: item for item in snapshot.manifest.sections}
+    name = change.section.name
+    if change.remove:
+        sections.pop(name, None)
+        references.pop(name, None)
+        digest = ""
+    else:
+        digest = digest_of(body_of(change.section))
+        sections[name] = change.section
+        references[name] = SectionRef(name, change.section.owner, digest)
+    record = ChangeRecord(
+        change_id=change.change_id,
+        revision=snapshot.revision + 1,
+        section=name,
+        owner=change.section.owner,
+        committed_at=now,
+        digest=digest,
+    )
+    manifest = Manifest(
+        revision=snapshot.revision + 1,
+        committed_at=now,
+        sections=tuple(references[key] for key in sorted(references)),
+        moves=_carry_moves(snapshot, tuple(sections.values()), now),
+        changes=(*snapshot.manifest.changes, record)[-CHANGES_KEPT:],
+    )
+    _, findings = assemble(manifest, "", sections.values())
+    if findings:
+        return Invalid(findings)
+    return Accepted(manifest, record)
+
+
+def _carry_moves(
+    snapshot: Snapshot, sections: tuple[Section, ...], now: datetime
+) -> tuple[MoveProgress, ...]:
+    """Keep the progress of known moves and begin that of new ones."""
+    moves = [move for section in sections for move in section.moves]
+    return tuple(
+        _carry_move(snapshot.progress.get(move.name), move, now) for move in moves
+    )
+
+
+def _carry_move(
+    progress: MoveProgress | None, move: Move, now: datetime
+) -> MoveProgress:
+    same = progress is not None and (
+        (progress.service, progress.from_version, progress.to_version)
+        == (move.service, move.from_version, move.to_version)
+    )
+    if same:
+        if move.finish_by is not None:
+            return attrs.evolve(progress, finish_by=move.finish_by)
+        return progress
+    finish_by = move.finish_by or now + timedelta(seconds=move.finish_within_s or 0)
+    return MoveProgress(
+        name=move.name,
+        service=move.service,
+        from_version=move.from_version,
+        to_version=move.to_version,
+        finish_by=finish_by,
+        started_at=now,
+    )
+
+
+def plan_move_update(
+    snapshot: Snapshot, progress: MoveProgress, change_id: str, note: str, now: datetime
+) -> Accepted | AlreadyCommitted | None:
+    """Plan the revision that records a move's new state.
+
+    Returns:
+        What to commit, or None where the move is no longer in the document.
+    """
+    for record in snapshot.manifest.changes:
+        if record.change_id == change_id:
+            return AlreadyCommitted(record)
+    if progress.name not in snapshot.progress:
+        return None
+    record = ChangeRecord(
+        change_id=change_id,
+        revision=snapshot.revision + 1,
+        section="",
+        owner="",
+        committed_at=now,
+        note=note,
+    )
+    moves = tuple(
+        progress if item.name == progress.name else item
+        for item in snapshot.manifest.moves
+    )
+    manifest = attrs.evolve(
+        snapshot.manifest,
+        revision=snapshot.revision + 1,
+        committed_at=now,
+        moves=moves,
+        changes=(*snapshot.manifest.changes, record)[-CHANGES_KEPT:],
+    )
+    return Accepted(manifest, record)
+
+
+def empty_snapshot(now: datetime) -> Snapshot:
+    """Return revision 0: the document before anybody wrote anything."""
+    return Snapshot(manifest=Manifest(revision=0, committed_at=now), digest="")
+
+
+__all__ = [
+    "Accepted",
+    "AlreadyCommitted",
+    "Change",
+    "Decision",
+    "Forbidden",
+    "Invalid",
+    "LostRace",
+    "Place",
+    "body_of",
+    "empty_snapshot",
+    "key_matches",
+    "plan_commit",
+    "plan_move_update",
+]
--- /dev/null
+++ b/agaterelay/core/messages.py
@@ -0,0 +1,78 @@
+"""What nodes say to each other, as plain values; adapters put them on the wire."""
+
+from __future__ import annotations
+
+import attrs
+
+from agaterelay.core.evidence import Evidence
+from agaterelay.core.membership import Member
+from agaterelay.core.model import Head
+from agaterelay.core.timeline import Event, Stamp
+
+
+@attrs.frozen
+class Brake:
+    """A move whose new version a node sends no more work."""
+
+    move: str
+    reason: str
+    first_failure_ms: int
+
+
+@attrs.frozen
+class Exchange:
+    """A probe, or its answer, with what the sender believes."""
+
+    stamp: Stamp
+    sender: Member
+    revision: Head
+    updates: tuple[Member, ...] = ()
+    brakes: tuple[Brake, ...] = ()
+    want_all: bool = False
+    floor: int = 0
+
+
+@attrs.frozen
+class Notify:
+    """News of a revision on its way down the tree."""
+
+    stamp: Stamp
+    sender: str
+    origin: str
+    revision: Head
+
+
+@attrs.frozen
+class Fetched:
+    """Bodies by digest; with a retry time where the other is too busy."""
+
+    bodies: dict[str, bytes] = attrs.field(factory=dict)
+    retry_after_s: float = 0.0
+
+
+@attrs.frozen
+class EvidenceReport:
+    """What one node saw of a move."""
+
+    evidence: Evidence
+    brakes: tuple[Brake, ...] = ()
+
+
+@attrs.frozen
+class EventsReport:
+    """A part of one node's events."""
+
+    events: tuple[Event, ...] = ()
+
+
+@attrs.frozen
+class NodeStatus:
+    """What one node says of itself; times are in milliseconds since 1970."""
+
+    host: str
+    zone: str
+    active_revision: int
+    held_revision: int
+    platform_up: bool
+    stopping: bool
+    activated_ms: int
--- /dev/null
+++ b/agaterelay/core/model.py
@@ -0,0 +1,207 @@
+"""The data types at the heart: what operators write, and what a node serves.
+
+Everything here is immutable. A parsed thing keeps its place in the source text, so
+that a finding made much later can still point at the line an operator wrote.
+"""
+
+from __future__ import annotations
+
+from datetime import datetime
+from enum import StrEnum
+
+import attrs
+
+
+@attrs.frozen
+class Place:
+    """Where something stands in a source text; lines and columns count from 1."""
+
+    filename: str
+    line: int = 1
+    column: int = 1
+
+    def __str__(self) -> str:
+        return f"{self.filename}:{self.line}:{self.column}"
+
+
+@attrs.frozen
+class Finding:
+    """One thing wrong with an input, with its place and the section it is in."""
+
+    place: Place
+    message: str
+    section: str = ""
+
+    def __str__(self) -> str:
+        section = f" [{self.section}]" if self.section else ""
+        return f"{self.place}:{section} {self.message}"
+
+
+class Priority(StrEnum):
+    """Which calls go first when an upstream is full."""
+
+    INTERACTIVE = "interactive"
+    BULK = "bulk"
+
+
+@attrs.frozen
+class Owner:
+    """A team that owns sections, with the SHA-256 of its key in hexadecimal."""
+
+    name: str
+    key_sha256: str
+    place: Place
+
+
+@attrs.frozen
+class Service:
+    """A named set of interchangeable upstreams and the version that serves it."""
+
+    name: str
+    version: str
+    place: Place
+
+
+@attrs.frozen
+class Route:
+    """A path prefix and methods that lead to a service.
+
+    A route that is not idempotent runs each call at most once.
+    """
+
+    name: str
+    path: str
+    service: str
+    place: Place
+    methods: tuple[str, ...] = ("GET",)
+    idempotent: bool = False
+    timeout_ms: int = 2000
+    priority: Priority = Priority.INTERACTIVE
+
+
+@attrs.frozen
+class Move:
+    """A planned change of a service from one upstream version to another.
+
+    Exactly one of ``finish_by`` and ``finish_within_s`` is set; the latter counts
+    from the commit that brought the move in.
+    """
+
+    name: str
+    service: str
+    from_version: str
+    to_version: str
+    place: Place
+    finish_by: datetime | None = None
+    finish_within_s: int | None = None
+    bake_s: int = 30
+
+
+@attrs.frozen
+class Section:
+    """The part of the document that one owner writes."""
+
+    name: str
+    owner: str
+    place: Place
+    text: str
+    owners: tuple[Owner, ...] = ()
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    moves: tuple[Move, ...] = ()
+
+
+class MoveState(StrEnum):
+    """Where a move stands."""
+
+    WAITING = "waiting"
+    STEPPING = "stepping"
+    BAKING = "baking"
+    DONE = "done"
+    REVERTED = "reverted"
+
+
+FINAL_MOVE_STATES = frozenset({MoveState.DONE, MoveState.REVERTED})
+
+
+@attrs.frozen
+class MoveProgress:
+    """How far a move has come; every change of it is a new revision.
+
+    ``share_permille`` is the part of the service's calls that go to the new version.
+    """
+
+    name: str
+    service: str
+    from_version: str
+    to_version: str
+    finish_by: datetime
+    started_at: datetime
+    state: MoveState = MoveState.WAITING
+    share_permille: int = 0
+    stepped_at: datetime | None = None
+    finished_at: datetime | None = None
+    reason: str = ""
+    first_failure_at: datetime | None = None
+    calls_harmed: int = 0
+    late: bool = False
+
+
+@attrs.frozen
+class SectionRef:
+    """A section of a manifest: its body is the object of that digest."""
+
+    name: str
+    owner: str
+    digest: str
+
+
+@attrs.frozen
+class ChangeRecord:
+    """One accepted change, kept in the manifest for a while."""
+
+    change_id: str
+    revision: int
+    section: str
+    owner: str
+    committed_at: datetime
+    digest: str = ""
+    note: str = ""
+
+
+@attrs.frozen
+class Manifest:
+    """What one revision consists of."""
+
+    revision: int
+    committed_at: datetime
+    sections: tuple[SectionRef, ...] = ()
+    moves: tuple[MoveProgress, ...] = ()
+    changes: tuple[ChangeRecord, ...] = ()
+
+
+@attrs.frozen
+class Head:
+    """The head row of the table: the newest revision and its manifest's digest."""
+
+    revision: int
+    digest: str
+
+
+@attrs.frozen
+class Snapshot:
+    """A complete, checked revision; the one thing that a node routes by."""
+
+    manifest: Manifest
+    digest: str
+    sections: tuple[Section, ...] = ()
+    owners: dict[str, Owner] = attrs.field(factory=dict)
+    services: dict[str, Service] = attrs.field(factory=dict)
+    routes: tuple[Route, ...] = ()
+    moves: dict[str, Move] = attrs.field(factory=dict)
+    progress: dict[str, MoveProgress] = attrs.field(factory=dict)
+
+    @property
+    def revision(self) -> int:
+        """The revision's number."""
+        return self.manifest.revision
--- /dev/null
+++ b/agaterelay/events.py
@@ -0,0 +1,43 @@
+"""The catalogue of numbered events; ``docs/EVENTS.md`` is checked against it."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class EventKind(Enum):
+    """Every event that a process records: its number and what it means."""
+
+    NODE_STARTED = (100, "A node started; it serves nothing yet.")
+    NODE_STOPPING = (101, "A node began its graceful shutdown.")
+    NODE_STOPPED = (102, "A node finished its graceful shutdown.")
+    SETTINGS_INVALID = (103, "The settings have findings; nothing was started.")
+    REVISION_SEEN = (200, "A node learned that a newer revision exists.")
+    REVISION_STAGED = (201, "A node holds a complete, checked revision.")
+    REVISION_ACTIVATED = (202, "A node began to serve a revision.")
+    REVISION_REFUSED = (203, "A revision is invalid; the old one serves on.")
+    REVISION_COMMITTED = (204, "A new revision was committed to the platform.")
+    CHANGE_REFUSED = (205, "An operator's change was refused.")
+    PLATFORM_LOST = (210, "The platform does not answer.")
+    PLATFORM_BACK = (211, "The platform answers again.")
+    FLOOR_KNOWN = (212, "A restarted node learned the lowest revision to serve.")
+    MEMBER_CHANGED = (300, "The view of a host changed.")
+    UPSTREAM_ANNOUNCED = (310, "An upstream announced itself to its host's node.")
+    UPSTREAM_WITHDRAWN = (311, "An upstream left or its heartbeat lapsed.")
+    UPSTREAM_DRAINING = (312, "An upstream takes no new work.")
+    CALL_NOT_RUN = (400, "A call was refused before any of it ran.")
+    CALL_UNKNOWN = (401, "It is unknown whether a call ran.")
+    MOVE_STEPPED = (500, "A move's share or state changed.")
+    MOVE_BRAKED = (501, "This node sends the new version no more work.")
+    MOVE_FINISHED = (502, "A move is done or reverted.")
+    TASK_FAILED = (900, "A task failed and was started again.")
+
+    @property
+    def number(self) -> int:
+        """The event's number, stable over versions."""
+        return self.value[0]
+
+    @property
+    def meaning(self) -> str:
+        """What the event means, one sentence."""
+        return self.value[1]
--- /dev/null
+++ b/agaterelay/node.py
@@ -0,0 +1,274 @@
+"""The one process on a host: builds the tasks, runs them, and stops gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+
+from agaterelay.adapters.clock import SystemClock
+from agaterelay.adapters.log import configure_log, make_recorder
+from agaterelay.adapters.metrics import Metrics
+from agaterelay.adapters.peers import PeerClient, PeerHandlers, start_peer_server
+from agaterelay.adapters.platform import PlatformClient
+from agaterelay.adapters.settings import Settings, load_settings
+from agaterelay.core.keys import KeyWindow
+from agaterelay.core.membership import Member
+from agaterelay.core.messages import Notify
+from agaterelay.core.timeline import Timeline, tick
+from agaterelay.events import EventKind
+from agaterelay.ports import Objects, Peers, Table
+from agaterelay.tasks.board import Board, Seen, World
+from agaterelay.tasks.calls import start_calls_server
+from agaterelay.tasks.committer import Committer
+from agaterelay.tasks.entry import Entry
+from agaterelay.tasks.gossip import (
+    Gossip,
+    leave,
+    run_gossip,
+    serve_exchange,
+    serve_probe_for,
+    set_own,
+    set_upstreams,
+)
+from agaterelay.tasks.keeper import (
+    Keeper,
+    post,
+    run_keeper,
+    serve_fetch,
+    serve_witness,
+)
+from agaterelay.tasks.mover import (
+    Mover,
+    run_brakes,
+    run_mover,
+    serve_evidence,
+    take_brakes,
+)
+from agaterelay.tasks.operators import (
+    Operators,
+    own_events,
+    own_status,
+    start_operators_server,
+)
+from agaterelay.tasks.owner import Owner, announced, expire_upstreams
+from agaterelay.tasks.reader import run_reader
+
+PEER_TIMEOUT_S = 1.0
+RESTART_DELAY_S = 0.5
+UPSTREAM_CHECK_S = 0.5
+UPSTREAM_CONNECTIONS = 130
+IN_FLIGHT_POLL_S = 0.02
+EXIT_SETTINGS_INVALID = 2
+
+
+@attrs.frozen
+class Ports:
+    """How a node reaches the platform, its peers, and HTTP servers."""
+
+    table: Table
+    objects: Objects
+    peers: Peers
+    session: aiohttp.ClientSession
+
+
+@attrs.frozen
+class Node:
+    """All parts of a running node."""
+
+    world: World
+    board: Board
+    keeper: Keeper
+    gossip: Gossip
+    owner: Owner
+    entry: Entry
+    mover: Mover
+    operators: Operators
+
+
+def build_node(settings: Settings, ports: Ports) -> Node:
+    """Wire the tasks of a node together; nothing runs yet."""
+    clock = SystemClock()
+    timeline = Timeline(settings.peers_address, clock.now)
+    world = World(
+        settings=settings,
+        clock=clock,
+        table=ports.table,
+        objects=ports.objects,
+        peers=ports.peers,
+        timeline=timeline,
+        record=make_recorder(timeline),
+    )
+    incarnation = int(clock.now().timestamp() * 1000)
+    board = Board(
+        Member(
+            host=settings.peers_address,
+            zone=settings.zone,
+            incarnation=incarnation,
+            sequence=1,
+            region=settings.region,
+            calls_address=settings.calls_address,
+            operators_address=settings.operators_address,
+        )
+    )
+    keeper = Keeper(world, board)
+    committer = Committer(world, board, keeper)
+    owner = Owner(world, board, KeyWindow(incarnation), ports.session)
+    mover = Mover(world, board, owner, committer)
+    gossip = Gossip(
+        world,
+        board,
+        keeper,
+        on_brakes=lambda brakes: take_brakes(board, world.record, brakes),
+    )
+    metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
+    return Node(
+        world=world,
+        board=board,
+        keeper=keeper,
+        gossip=gossip,
+        owner=owner,
+        entry=Entry(world, board, owner, ports.session),
+        mover=mover,
+        operators=Operators(world, board, owner, gossip, committer, metrics),
+    )
+
+
+def peer_handlers(node: Node) -> PeerHandlers:
+    """Return what the node does on each request of a peer."""
+
+    def take_notify(notify: Notify) -> int:
+        tick(node.world.timeline, notify.stamp)
+        post(node.keeper, Seen(notify.revision, notify.sender, notify.origin))
+        return node.keeper.line.held_revision
+
+    return PeerHandlers(
+        exchange=lambda exchange: serve_exchange(node.gossip, exchange),
+        probe_for=lambda host: serve_probe_for(node.gossip, host),
+        notify=take_notify,
+        fetch=lambda digests: serve_fetch(node.keeper, digests),
+        witness=lambda host, revision: serve_witness(node.keeper, host, revision),
+        evidence=lambda move: serve_evidence(node.mover, move),
+        events=lambda after, most: own_events(node.world, after, most),
+        status=lambda: own_status(node.board),
+    )
+
+
+async def watch_upstreams(node: Node) -> None:
+    """Forget upstreams whose heartbeat lapsed, until cancelled."""
+    while True:
+        await node.world.clock.sleep(UPSTREAM_CHECK_S)
+        expire_upstreams(node.owner)
+        set_upstreams(node.gossip, announced(node.owner))
+
+
+async def supervise(node: Node, name: str, start: Any) -> None:
+    """Run a task; where it fails, record that and start it again."""
+    while True:
+        try:
+            await start()
+        except Exception as error:
+            node.world.record(
+                EventKind.TASK_FAILED,
+                task=name,
+                error=f"{type(error).__name__}: {error}",
+            )
+        await node.world.clock.sleep(RESTART_DELAY_S)
+
+
+async def run_node(
+    settings: Settings, wrap: Callable[[Ports], Ports] = lambda ports: ports
+) -> None:
+    """Run a node until it is told to stop.
+
+    Args:
+        settings: The node's checked settings.
+        wrap: Returns the ports to use in place of the system's own; tests put
+            faults there.
+
+    Raises:
+        OSError: An address cannot be bound.
+    """
+    platform = PlatformClient(
+        settings.table_url, settings.objects_url, settings.platform_timeout_s
+    )
+    await platform.open()
+    connector = aiohttp.TCPConnector(limit=0, limit_per_host=UPSTREAM_CONNECTIONS)
+    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    peers = PeerClient(PEER_TIMEOUT_S)
+    node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
+    set_own(node.gossip, node.board.own)
+    stopping = _stop_signal()
+    peer_server = await start_peer_server(settings.peers_address, peer_handlers(node))
+    operators = await start_operators_server(node.operators, settings.operators_address)
+    calls = await start_calls_server(node.entry, settings.calls_address)
+    node.world.record(EventKind.NODE_STARTED, zone=settings.zone)
+    tasks = _start_tasks(node)
+    await stopping.wait()
+    await stop_gracefully(node)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await calls.cleanup()
+    await operators.cleanup()
+    await peer_server.stop(0.2)
+    await session.close()
+    await platform.close()
+    await peers.close()
+    node.world.record(EventKind.NODE_STOPPED)
+
+
+def _stop_signal() -> asyncio.Event:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    return stopping
+
+
+def _start_tasks(node: Node) -> list[asyncio.Task[None]]:
+    starts: dict[str, Any] = {
+        "keeper": lambda: run_keeper(node.keeper),
+        "reader": lambda: run_reader(node.world, node.board, node.keeper),
+        "gossip": lambda: run_gossip(node.gossip),
+        "upstreams": lambda: watch_upstreams(node),
+        "brakes": lambda: run_brakes(node.mover),
+        "mover": lambda: run_mover(node.mover),
+    }
+    return [
+        asyncio.create_task(supervise(node, name, start), name=name)
+        for name, start in starts.items()
+    ]
+
+
+async def stop_gracefully(node: Node) -> None:
+    """Leave the fleet, refuse new work, and finish what is in flight."""
+    node.world.record(EventKind.NODE_STOPPING)
+    node.board.stopping = True
+    await leave(node.gossip)
+    deadline_s = node.world.clock.monotonic_s() + node.world.settings.drain_s
+    while node.owner.in_flight and node.world.clock.monotonic_s() < deadline_s:
+        await node.world.clock.sleep(IN_FLIGHT_POLL_S)
+
+
+def run(settings_path: Path) -> int:
+    """Check the settings and run a node; return the process's exit status."""
+    settings, findings = load_settings(settings_path)
+    if settings is None:
+        for finding in findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS_INVALID
+    configure_log()
+    main: Coroutine[Any, Any, None] = run_node(settings)
+    try:
+        asyncio.run(main)
+    except OSError as error:
+        print(f"cannot start: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/agaterelay/ports.py
@@ -0,0 +1,114 @@
+"""What the core's tasks ask of the world outside the process."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import Protocol
+
+import attrs
+
+from agaterelay.core.messages import (
+    EventsReport,
+    EvidenceReport,
+    Exchange,
+    Fetched,
+    NodeStatus,
+    Notify,
+)
+from agaterelay.core.timeline import Stamp
+
+
+class PlatformError(Exception):
+    """The platform did not answer; a write may or may not have taken effect."""
+
+
+class Clock(Protocol):
+    """Tells and waits for time."""
+
+    def now(self) -> datetime:
+        """Return the wall time, in UTC."""
+
+    def monotonic_s(self) -> float:
+        """Return a time in seconds that never jumps."""
+
+    async def sleep(self, delay_s: float) -> None:
+        """Wait for a while."""
+
+
+@attrs.frozen
+class Row:
+    """A row of the table service with the version that a conditional write names."""
+
+    value: bytes
+    version: int
+
+
+class Table(Protocol):
+    """The platform's transactional table service."""
+
+    async def read(self, name: str) -> Row | None:
+        """Return a row, None where there is none.
+
+        Raises:
+            PlatformError: The service did not answer.
+        """
+
+    async def write(self, name: str, value: bytes, expected_version: int) -> bool:
+        """Write a row if it still has the expected version (0: does not exist).
+
+        Returns:
+            Whether the write took effect.
+
+        Raises:
+            PlatformError: Nobody knows whether the write took effect.
+        """
+
+
+class Objects(Protocol):
+    """The platform's object store."""
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, None where there is none.
+
+        Raises:
+            PlatformError: The store did not answer.
+        """
+
+    async def put(self, name: str, body: bytes) -> None:
+        """Store an object, over an earlier one of the same name.
+
+        Raises:
+            PlatformError: Nobody knows whether the object was stored.
+        """
+
+
+class PeerError(Exception):
+    """A peer did not answer, or refused; its message says which."""
+
+
+class Peers(Protocol):
+    """The other nodes; every call raises PeerError where there is no answer."""
+
+    async def exchange(self, host: str, exchange: Exchange) -> Exchange:
+        """Probe a host and exchange views."""
+
+    async def probe_for(self, host: str, target: str) -> bool:
+        """Ask a host to probe a third one."""
+
+    async def notify(self, host: str, notify: Notify) -> int:
+        """Tell a host of a revision; return the highest one it holds."""
+
+    async def fetch(self, host: str, digests: tuple[str, ...]) -> Fetched:
+        """Ask a host for bodies by digest."""
+
+    async def witness(self, host: str, own_host: str, revision: int) -> int:
+        """Tell a host which revision this one is about to serve; return the floor."""
+
+    async def evidence(self, host: str, move: str) -> EvidenceReport:
+        """Ask a host what it saw of a move."""
+
+    async def events(self, host: str, after: Stamp, most: int) -> EventsReport:
+        """Ask a host for its newest events."""
+
+    async def status(self, host: str) -> NodeStatus:
+        """Ask a host which revision it serves."""
--- /dev/null
+++ b/agaterelay/tasks/board.py
@@ -0,0 +1,57 @@
+"""What the tasks of a node publish to each other.
+
+Every field has one writer, named beside it; all others read. The values are
+immutable, so a reader that holds one is never surprised by a change.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from agaterelay.adapters.log import Recorder
+from agaterelay.adapters.settings import Settings
+from agaterelay.core.membership import Member, Members
+from agaterelay.core.messages import Brake
+from agaterelay.core.model import Head, Snapshot
+from agaterelay.core.timeline import Timeline
+from agaterelay.ports import Clock, Objects, Peers, Table
+
+
+@attrs.frozen
+class World:
+    """The ports that a node's tasks use."""
+
+    settings: Settings
+    clock: Clock
+    table: Table
+    objects: Objects
+    peers: Peers
+    timeline: Timeline
+    record: Recorder
+
+
+@attrs.define
+class Board:
+    """The published state of a node."""
+
+    own: Member  # written by gossip
+    members: Members = attrs.field(factory=dict)  # written by gossip
+    active: Snapshot | None = None  # written by the keeper
+    activated_ms: int = 0  # written by the keeper
+    held: Head = Head(0, "")  # written by the keeper
+    floor: int | None = None  # written by the keeper
+    brakes: dict[str, Brake] = attrs.field(factory=dict)  # written by the brake task
+    platform_up: bool = True  # written by the reader
+    stopping: bool = False  # written by the node
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+@attrs.frozen
+class Seen:
+    """A message to the keeper: a revision exists; ``source`` is a host or empty."""
+
+    head: Head
+    source: str = ""
+    origin: str = ""
--- /dev/null
+++ b/demo/siamsong.py
@@ -0,0 +1,34 @@
+"""Siamsong Surtitles: cue-desk and panel-feed in three availability zones."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from demo.story import ServicePart, Story, tell
+
+STORY = Story(
+    title="Siamsong Surtitles, opening night",
+    document=Path(__file__).parent.parent / "examples" / "siamsong.yaml",
+    zones={"bangkok-1": 2, "bangkok-2": 2, "bangkok-3": 2},
+    services=(
+        ServicePart(
+            name="panel-feed",
+            owner="panel-team",
+            instances=6,
+            slots=12,
+            calls=(("GET", "/panel-feed/live"), ("GET", "/panel-feed/archive")),
+            bad_version=False,
+        ),
+        ServicePart(
+            name="cue-desk",
+            owner="cue-team",
+            instances=5,
+            slots=12,
+            calls=(("POST", "/cue-desk/fire"), ("GET", "/cue-desk/script")),
+            bad_version=True,
+        ),
+    ),
+)
+
+if __name__ == "__main__":
+    tell(STORY)
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,233 @@
+"""A small stand-in for an upstream: slots, drain, deadlines, good and bad versions.
+
+It announces itself to its host's node, and keeps a record of everything it ran, which
+tests compare with the callers' own records.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections import deque
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+HEARTBEAT_S = 1.0
+
+
+@attrs.define
+class Behaviour:
+    """How this version of the upstream behaves; the bad ones are made of these.
+
+    ``fail_permille`` applies from ``fail_after_s`` after the start, above
+    ``fail_above_load`` calls in flight, and only on paths that start with
+    ``fail_path``.
+    """
+
+    work_ms: float = 5.0
+    cold_start_s: float = 0.0
+    fail_permille: int = 0
+    fail_after_s: float = 0.0
+    fail_above_load: int = 0
+    fail_path: str = "/"
+    slow_ms: float = 0.0
+    cut_permille: int = 0
+
+
+@attrs.define
+class Upstream:
+    """One instance's state."""
+
+    service: str
+    version: str
+    address: str
+    slots: int
+    connections: int
+    behaviour: Behaviour
+    started_s: float = attrs.field(factory=time.monotonic)
+    in_flight: int = 0
+    draining: bool = False
+    records: deque[dict] = attrs.field(factory=lambda: deque(maxlen=200_000))
+
+
+def is_bad_now(upstream: Upstream, path: str) -> bool:
+    """Return whether the version's fault applies to a call at this moment."""
+    behaviour = upstream.behaviour
+    age_s = time.monotonic() - upstream.started_s
+    return (
+        age_s >= behaviour.fail_after_s
+        and upstream.in_flight > behaviour.fail_above_load
+        and path.startswith(behaviour.fail_path)
+    )
+
+
+async def run_call(
+    upstream: Upstream, request: web.Request, draw: random.Random
+) -> web.StreamResponse:
+    """Run one call in a slot, and record it."""
+    if upstream.draining or upstream.in_flight >= upstream.slots:
+        reason = "draining" if upstream.draining else "full"
+        return web.Response(status=503, headers={"Not-Run": reason})
+    body = await request.read()
+    upstream.in_flight += 1
+    entry = {
+        "path": request.path,
+        "method": request.method,
+        "key": request.headers.get("Idempotency-Key", ""),
+        "request_id": request.headers.get("Request-Id", ""),
+        "at": time.time(),
+        "version": upstream.version,
+    }
+    upstream.records.append(entry)
+    try:
+        return await answer_call(upstream, request, body, draw)
+    finally:
+        upstream.in_flight -= 1
+
+
+async def answer_call(
+    upstream: Upstream, request: web.Request, body: bytes, draw: random.Random
+) -> web.StreamResponse:
+    """Do the work of a call and answer as the version's behaviour says."""
+    behaviour = upstream.behaviour
+    age_s = time.monotonic() - upstream.started_s
+    delay_ms = behaviour.work_ms * draw.uniform(0.8, 1.4)
+    if age_s < behaviour.cold_start_s:
+        delay_ms *= 4
+    bad = is_bad_now(upstream, request.path)
+    if bad:
+        delay_ms += behaviour.slow_ms
+    await asyncio.sleep(delay_ms / 1000)
+    if bad and draw.randrange(1000) < behaviour.fail_permille:
+        return web.Response(status=500, text="failed")
+    answer = {
+        "service": upstream.service,
+        "version": upstream.version,
+        "path": request.path,
+        "request_id": request.headers.get("Request-Id", ""),
+        "echo": body.decode("utf-8", "replace"),
+    }
+    if bad and draw.randrange(1000) < behaviour.cut_permille:
+        response = web.StreamResponse(headers={"Content-Length": "4096"})
+        await response.prepare(request)
+        await response.write(b"{")
+        if request.transport is not None:
+            request.transport.close()
+        return response
+    return web.json_response(answer)
+
+
+async def announce(upstream: Upstream, node: str) -> None:
+    """Announce the upstream to its host's node once a heartbeat, until cancelled."""
+    url = f"http://{node}/v1/upstreams/{upstream.address}"
+    timeout = aiohttp.ClientTimeout(total=2)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            body = {
+                "service": upstream.service,
+                "version": upstream.version,
+                "slots": upstream.slots,
+                "connections": upstream.connections,
+                "draining": upstream.draining,
+            }
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with session.put(url, json=body) as response:
+                    await response.read()
+            await asyncio.sleep(HEARTBEAT_S)
+
+
+async def withdraw(upstream: Upstream, node: str) -> None:
+    """Tell the node that the upstream leaves."""
+    url = f"http://{node}/v1/upstreams/{upstream.address}"
+    timeout = aiohttp.ClientTimeout(total=2)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with session.delete(url) as response:
+                await response.read()
+
+
+def build_application(upstream: Upstream, seed: int) -> web.Application:
+    """Return the upstream as an HTTP application."""
+    draw = random.Random(seed)
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        return await run_call(upstream, request, draw)
+
+    async def show_records(_: web.Request) -> web.Response:
+        return web.json_response(list(upstream.records))
+
+    async def set_behaviour(request: web.Request) -> web.Response:
+        upstream.behaviour = Behaviour(**await request.json())
+        upstream.started_s = time.monotonic()
+        return web.Response()
+
+    async def show_health(_: web.Request) -> web.Response:
+        return web.json_response({"healthy": True, "load": 0.0})
+
+    application = web.Application(client_max_size=8 << 20)
+    application.router.add_get("/-/records", show_records)
+    application.router.add_put("/-/behaviour", set_behaviour)
+    application.router.add_get("/-/health", show_health)
+    application.router.add_route("*", "/{path:.*}", handle)
+    return application
+
+
+async def serve(upstream: Upstream, node: str, seed: int) -> None:
+    """Serve until SIGTERM, then withdraw, finish what is in flight, and stop."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    runner = web.AppRunner(build_application(upstream, seed), access_log=None)
+    await runner.setup()
+    host, port = upstream.address.rsplit(":", 1)
+    await web.TCPSite(runner, host, int(port)).start()
+    announcer = asyncio.create_task(announce(upstream, node))
+    await stopping.wait()
+    announcer.cancel()
+    await withdraw(upstream, node)
+    upstream.draining = True
+    while upstream.in_flight:
+        await asyncio.sleep(0.02)
+    await runner.cleanup()
+
+
+def main() -> None:
+    """Read the arguments and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", required=True, help="address as HOST:PORT")
+    parser.add_argument("--node", required=True, help="the node's operators address")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--version", required=True)
+    parser.add_argument("--slots", type=int, default=12)
+    parser.add_argument("--connections", type=int, default=130)
+    parser.add_argument("--seed", type=int, default=1)
+    for field in attrs.fields(Behaviour):
+        option = "--" + field.name.replace("_", "-")
+        parser.add_argument(option, type=type(field.default), default=field.default)
+    arguments = parser.parse_args()
+    behaviour = Behaviour(
+        **{
+            field.name: getattr(arguments, field.name)
+            for field in attrs.fields(Behaviour)
+        }
+    )
+    upstream = Upstream(
+        service=arguments.service,
+        version=arguments.version,
+        address=arguments.listen,
+        slots=arguments.slots,
+        connections=arguments.connections,
+        behaviour=behaviour,
+    )
+    asyncio.run(serve(upstream, arguments.node, arguments.seed))
+
+
+if __name__ == "__main__":
+    main()
