--- a/agaterelay/tasks/operators.py
+++ b/agaterelay/tasks/operators.py
@@ -285,6 +285,10 @@
     return False
 
 
+async def _show_node(operators: Operators, _: web.Request) -> web.Response:
+    return web.json_response(attrs.asdict(own_status(operators.board)))
+
+
 async def _show_status(operators: Operators, _: web.Request) -> web.Response:
     board = operators.board
     members = [member for member in board.members.values() if member.usable]
@@ -349,6 +353,7 @@
     ("GET", "/v1/changes/{change_id}", _show_change),
     ("GET", "/v1/moves", _show_moves),
     ("POST", "/v1/moves/{name}/take-back", _take_back),
+    ("GET", "/v1/node", _show_node),
     ("GET", "/v1/status", _show_status),
     ("GET", "/v1/timeline", _show_timeline),
     ("GET", "/metrics", _show_metrics),
--- a/demo/story.py
+++ b/demo/story.py
@@ -6,22 +6,16 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
 import json
-import random
 import subprocess
 import sys
 import time
-import uuid
 from collections import Counter
 from pathlib import Path
 
 import attrs
 
-from agaterelay.client import Caller
 from agaterelay.core.model import MoveState
-from agaterelay.core.outcome import Answered, NotRun, Outcome
 from standins.deployment import (
     ADMIN_KEY,
     Deployment,
@@ -30,6 +24,14 @@
     start_upstream,
     wait_until,
 )
+from standins.traffic import (
+    Traffic,
+    all_upstreams,
+    count_runs,
+    find_problems,
+    start_traffic,
+    stop_traffic,
+)
 
 CALL_PERIOD_S = 0.01
 CONVERGENCE_BOUND_S = 10.0
@@ -59,14 +61,6 @@
     services: tuple[ServicePart, ...]
 
 
-@attrs.define
-class Traffic:
-    """What the callers sent and what they were told."""
-
-    sent: dict[str, tuple[str, str]] = attrs.field(factory=dict)
-    outcomes: dict[str, Outcome] = attrs.field(factory=dict)
-
-
 def run_command(*arguments: str) -> str:
     """Run an operators' command, show it, and return its output.
 
@@ -97,53 +91,6 @@
             raise SystemExit(f"not in force within {CONVERGENCE_BOUND_S} s: {record}")
 
 
-async def send_traffic(story: Story, running: Deployment, traffic: Traffic) -> None:
-    """Send calls until cancelled, a new one each period."""
-    draw = random.Random(1)
-    nodes = tuple(host.calls for host in running.hosts)
-    kinds = [call for service in story.services for call in service.calls]
-    async with Caller(nodes) as caller, asyncio.TaskGroup() as group:
-        while True:
-            method, path = draw.choice(kinds)
-            request_id = str(uuid.uuid4())
-            traffic.sent[request_id] = (method, path)
-            group.create_task(send_one(caller, traffic, method, path, request_id))
-            await asyncio.sleep(CALL_PERIOD_S)
-
-
-async def send_one(
-    caller: Caller, traffic: Traffic, method: str, path: str, request_id: str
-) -> None:
-    """Send one call and keep what the caller was told."""
-    idempotent = method == "GET"
-    traffic.outcomes[request_id] = await caller.call(
-        method, path, request_id.encode(), idempotent, request_id
-    )
-
-
-def check_records(running: Deployment, traffic: Traffic) -> list[str]:
-    """Compare the callers' records with the upstreams'; return what is wrong."""
-    runs: Counter[str] = Counter()
-    for host in running.hosts:
-        for address in host.upstreams:
-            for entry in fetch(f"http://{address}/-/records") or ():
-                runs[entry["request_id"]] += 1
-    problems = []
-    for request_id, outcome in traffic.outcomes.items():
-        method, path = traffic.sent[request_id]
-        count = runs[request_id]
-        if method == "POST" and count > 1:
-            problems.append(f"{path} {request_id} ran {count} times")
-        if isinstance(outcome, NotRun) and method == "POST" and count:
-            problems.append(f"{path} {request_id} ran, but was refused as not run")
-        if isinstance(outcome, Answered) and outcome.status == 200:
-            if not count:
-                problems.append(f"{path} {request_id} was answered, but never ran")
-            if json.loads(outcome.body)["request_id"] != request_id:
-                problems.append(f"{path} {request_id} got another call's answer")
-    return problems
-
-
 def add_move(story: Story, running: Deployment, service: ServicePart) -> Path:
     """Write the document with a move of a service added to the owner's section."""
     sections = story.document.read_text().split("---\n")
@@ -180,20 +127,19 @@
         raise SystemExit(f"move {name} ended {verdict()}, expected {expected}")
 
 
-async def run_story(story: Story, running: Deployment) -> Traffic:
+def run_story(story: Story, running: Deployment) -> Traffic:
     """Apply the document, send traffic, and run the moves."""
-    traffic = Traffic()
     apply_section(running, story.document, "owners", "admin")
     for service in story.services:
         apply_section(running, story.document, service.name, service.owner)
-    sending = asyncio.create_task(send_traffic(story, running, traffic))
+    nodes = tuple(host.calls for host in running.hosts)
+    kinds = tuple(call for service in story.services for call in service.calls)
+    traffic = start_traffic(nodes, kinds, CALL_PERIOD_S)
     try:
         for service in story.services:
-            await asyncio.to_thread(run_move_of, story, running, service)
+            run_move_of(story, running, service)
     finally:
-        sending.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await sending
+        stop_traffic(traffic)
     return traffic
 
 
@@ -220,9 +166,9 @@
                 start_upstream(running, host, service.name, "v1", slots=service.slots)
         run_command("check", str(story.document))
         wait_until(lambda: has_upstreams(story, running), "the upstreams' announcement")
-        traffic = asyncio.run(run_story(story, running))
+        traffic = run_story(story, running)
         run_command("status", "--node", running.hosts[-1].operators)
-        problems = check_records(running, traffic)
+        problems = find_problems(traffic, count_runs(all_upstreams(running)))
     kinds = Counter(type(outcome).__name__ for outcome in traffic.outcomes.values())
     print(f"calls: {len(traffic.outcomes)}, outcomes: {dict(kinds)}")
     print(f"lost, doubled, crossed or falsely refused calls: {len(problems)}")
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -229,12 +229,14 @@
     return fetch(f"http://{host.operators}/v1/document") is not None
 
 
-def fetch(url: str, method: str = "GET", body: Any = None, **headers: str) -> Any:
+def fetch(
+    url: str, method: str = "GET", body: Any = None, timeout_s: float = 10.0
+) -> Any:
     """Return the JSON at an address, None where there is no good answer."""
     data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(url, data, headers, method=method)
+    request = urllib.request.Request(url, data, method=method)
     try:
-        with urllib.request.urlopen(request, timeout=10) as response:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
             content = response.read()
     except (OSError, urllib.error.URLError):
         return None
