--- a/agaterelay/adapters/settings.py
+++ b/agaterelay/adapters/settings.py
@@ -4,17 +4,28 @@
 
 import re
 import tomllib
+from collections.abc import Callable, Iterable
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
 import attrs
 
+from agaterelay.adapters.tls import TlsFiles, find_tls_problems
+from agaterelay.core.fields import printable
 from agaterelay.core.model import Finding, Place
 
-_ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})")
+MAX_SETTINGS_BYTES = 64 << 10
+MAX_LIST_ITEMS = 64
+MAX_SHOWN_INTEGER = 10**18
+
+_ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})")
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 _HASH = re.compile(r"[0-9a-f]{64}")
-_URL = re.compile(r"http://[^\s/]+(/.*)?")
+_URL = re.compile(r"http://[A-Za-z0-9.-]{1,253}(:[0-9]{1,5})?(/[!-~]*)?")
+
+# Returns what is expected in place of a value, None where the value is good.
+Check = Callable[[Any], str | None]
 
 
 @attrs.frozen
@@ -36,6 +47,7 @@
     move_step_s: float = 3.0
     drain_s: float = 30.0
     platform_timeout_s: float = 2.0
+    tls: TlsFiles | None = None
 
 
 def _address(value: Any) -> str | None:
@@ -47,7 +59,7 @@
     return None
 
 
-def _pattern(pattern: re.Pattern[str], expected: str) -> Any:
+def _pattern(pattern: re.Pattern[str], expected: str) -> Check:
     def check(value: Any) -> str | None:
         matches = isinstance(value, str) and pattern.fullmatch(value)
         return None if matches else expected
@@ -55,7 +67,7 @@
     return check
 
 
-def _seconds(low: float, high: float) -> Any:
+def _seconds(low: float, high: float) -> Check:
     def check(value: Any) -> str | None:
         number = isinstance(value, int | float) and not isinstance(value, bool)
         if number and low <= value <= high:
@@ -65,10 +77,10 @@
     return check
 
 
-def _list_of(check_item: Any) -> Any:
+def _list_of(check_item: Check) -> Check:
     def check(value: Any) -> str | None:
-        if not isinstance(value, list) or len(value) > 64:
-            return "a list of at most 64 items"
+        if not isinstance(value, list) or len(value) > MAX_LIST_ITEMS:
+            return f"a list of at most {MAX_LIST_ITEMS} items"
         for item in value:
             expected = check_item(item)
             if expected is not None:
@@ -78,11 +90,17 @@
     return check
 
 
+def _path(value: Any) -> str | None:
+    good = isinstance(value, str) and value.isprintable() and 0 < len(value) < 4096
+    return None if good else "the path of a file"
+
+
 _name = _pattern(_NAME, "a name of lower-case letters, digits and hyphens")
 _url = _pattern(_URL, "an http:// address")
+_hash = _pattern(_HASH, "64 hexadecimal digits")
 
 # Table and key in the file, the check, and whether it must be there.
-_KEYS: dict[str, tuple[str, Any, bool]] = {
+_KEYS: dict[str, tuple[str, Check, bool]] = {
     "zone": ("node", _name, True),
     "region": ("node", _name, True),
     "peers_address": ("node", _address, True),
@@ -93,26 +111,52 @@
     "table_url": ("platform", _url, True),
     "objects_url": ("platform", _url, True),
     "platform_timeout_s": ("platform", _seconds(0.1, 60), False),
-    "admin_key_sha256": ("operators", _pattern(_HASH, "64 hexadecimal digits"), True),
+    "admin_key_sha256": ("operators", _hash, True),
     "head_poll_s": ("timing", _seconds(0.1, 60), False),
     "probe_period_s": ("timing", _seconds(0.1, 60), False),
     "move_step_s": ("timing", _seconds(0.2, 3600), False),
     "drain_s": ("timing", _seconds(0, 3600), False),
+    "ca": ("tls", _path, False),
+    "certificate": ("tls", _path, False),
+    "key": ("tls", _path, False),
 }
+_TLS_KEYS = ("ca", "certificate", "key")
+_ADDRESS_KEYS = ("peers_address", "calls_address", "operators_address")
 
 
 def load_settings(path: Path) -> tuple[Settings | None, tuple[Finding, ...]]:
-    """Read and check a settings file.
+    """Read and check a settings file and the files that it names.
 
     Returns:
         The settings and no findings, or None and all findings.
     """
     try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        message = f"cannot be read: {type(error).__name__}"
+        with path.open("rb") as file:
+            content = file.read(MAX_SETTINGS_BYTES + 1)
+        text = content.decode()
+    except OSError as error:
+        message = f"cannot be read: {error.strerror}"
+        return None, (Finding(Place(str(path)), message),)
+    except UnicodeDecodeError as error:
+        line = content.count(b"\n", 0, error.start) + 1
+        return None, (Finding(Place(str(path), line), "is not UTF-8 text"),)
+    if len(content) > MAX_SETTINGS_BYTES:
+        message = f"has more than {MAX_SETTINGS_BYTES} bytes"
         return None, (Finding(Place(str(path)), message),)
-    return parse_settings(text, str(path))
+    settings, findings = parse_settings(text, str(path))
+    if settings is None or settings.tls is None:
+        return settings, findings
+    problems = find_tls_problems(
+        settings.tls, settings.peers_address, datetime.now(UTC)
+    )
+    findings = tuple(
+        Finding(
+            _place_of(text, str(path), "tls", problem.key),
+            f"tls.{problem.key}: {problem.message}",
+        )
+        for problem in problems
+    )
+    return (None if findings else settings), findings
 
 
 def parse_settings(
@@ -125,11 +169,12 @@
     """
     try:
         tables = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
-        match = re.search(r"line (\d+), column (\d+)", str(error))
+    except (ValueError, RecursionError) as error:
+        match = re.search(r"line ([0-9]+), column ([0-9]+)", str(error))
         line, column = (int(match[1]), int(match[2])) if match else (1, 1)
         place = Place(filename, line, column)
-        return None, (Finding(place, f"not readable as TOML: {error}"),)
+        message = f"not readable as TOML: {printable(str(error), 200)}"
+        return None, (Finding(place, message),)
     findings = list(_find_unknown(tables, text, filename))
     values: dict[str, Any] = {}
     for key, (table, check, required) in _KEYS.items():
@@ -137,40 +182,89 @@
         if not isinstance(content, dict) or key not in content:
             if required:
                 place = _place_of(text, filename, table, None)
-                findings.append(Finding(place, f"missing key {table}.{key}"))
+                expected = check(None)
+                message = f"missing key {table}.{key}: {expected}"
+                findings.append(Finding(place, message))
             continue
         value = content[key]
         expected = check(value)
         if expected is not None:
             place = _place_of(text, filename, table, key)
-            message = f"{table}.{key} must be {expected}, not {value!r}"
+            message = f"{table}.{key} must be {expected}, not {_shown(value)}"
             findings.append(Finding(place, message))
+            continue
         values[key] = tuple(value) if isinstance(value, list) else value
+    findings.extend(_find_clashes(values, text, filename))
     if findings:
         findings.sort(key=lambda finding: finding.place.line)
         return None, tuple(findings)
-    return Settings(**values), ()
-
-
-def _find_unknown(tables: dict[str, Any], text: str, filename: str) -> Any:
+    return _make_settings(values, Path(filename).parent), ()
+
+
+def _make_settings(values: dict[str, Any], folder: Path) -> Settings:
+    paths = {key: folder / values.pop(key) for key in _TLS_KEYS if key in values}
+    return Settings(**values, tls=TlsFiles(**paths) if paths else None)
+
+
+def _shown(value: Any) -> str:
+    """Return a value's beginning; a number may be too long to be written at all."""
+    if isinstance(value, int) and abs(value) > MAX_SHOWN_INTEGER:
+        return "a number of that size"
+    if isinstance(value, list | dict):
+        return f"a {'list' if isinstance(value, list) else 'table'}"
+    return printable(repr(value))
+
+
+def _find_clashes(
+    values: dict[str, Any], text: str, filename: str
+) -> Iterable[Finding]:
+    """Find keys that are good alone but not together."""
+    given = [key for key in _TLS_KEYS if key in values]
+    if given and len(given) < len(_TLS_KEYS):
+        missing = ", ".join(f"tls.{key}" for key in _TLS_KEYS if key not in values)
+        place = _place_of(text, filename, "tls", None)
+        yield Finding(place, f"tls needs all of its files; without value: {missing}")
+    seen: dict[str, str] = {}
+    for key in _ADDRESS_KEYS:
+        address = values.get(key)
+        if address is not None and address in seen:
+            place = _place_of(text, filename, "node", key)
+            yield Finding(place, f"node.{key} is the same as node.{seen[address]}")
+        elif address is not None:
+            seen[address] = key
+    zones = values.get("zones")
+    if zones and "zone" in values and values["zone"] not in zones:
+        place = _place_of(text, filename, "node", "zones")
+        yield Finding(place, f"node.zones lacks this node's own {values['zone']!r}")
+
+
+def _find_unknown(
+    tables: dict[str, Any], text: str, filename: str
+) -> Iterable[Finding]:
     known_tables = {table for table, _, _ in _KEYS.values()}
     for table, content in tables.items():
-        if table not in known_tables or not isinstance(content, dict):
-            place = _place_of(text, filename, table, None)
+        place = _place_of(text, filename, table, None)
+        if table not in known_tables:
             known = ", ".join(sorted(known_tables))
-            yield Finding(place, f"unknown table {table!r}; known: {known}")
+            shown = printable(table)
+            yield Finding(place, f"unknown table '{shown}'; known: {known}")
+            continue
+        if not isinstance(content, dict):
+            yield Finding(place, f"{table} must be a table, not {_shown(content)}")
             continue
         for key in content:
             if key not in _KEYS or _KEYS[key][0] != table:
                 place = _place_of(text, filename, table, key)
-                yield Finding(place, f"unknown key {table}.{key}")
+                known = ", ".join(name for name in _KEYS if _KEYS[name][0] == table)
+                message = f"unknown key {table}.{printable(key)}; known: {known}"
+                yield Finding(place, message)
 
 
 def _place_of(text: str, filename: str, table: str, key: str | None) -> Place:
     """Return where a key stands, or its table's header where there is no such key."""
     header_line = 1
     inside = False
-    for number, line in enumerate(text.splitlines(), start=1):
+    for number, line in enumerate(text.split("\n"), start=1):
         stripped = line.strip()
         if re.fullmatch(rf"\[\s*{re.escape(table)}\s*\](\s*#.*)?", stripped):
             inside = True
