--- /dev/null
+++ b/bench/bare_node.py
@@ -0,0 +1,85 @@
+"""A node with control switched off: the same call path over a fixed configuration.
+
+It loads a document from files once and knows its one upstream from its arguments. No
+gossip, no reader, no keeper, no moves, no gRPC. What a full node uses above this is
+what control costs.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from datetime import UTC, datetime
+from pathlib import Path
+
+import aiohttp
+
+from agaterelay.adapters.clock import SystemClock
+from agaterelay.adapters.log import configure_log, make_recorder
+from agaterelay.adapters.settings import load_settings
+from agaterelay.core.keys import KeyWindow
+from agaterelay.core.membership import Member, UpstreamInfo
+from agaterelay.core.model import Manifest
+from agaterelay.core.parse import parse_document
+from agaterelay.core.snapshot import assemble
+from agaterelay.core.timeline import Timeline
+from agaterelay.tasks.board import Board, World
+from agaterelay.tasks.calls import start_calls_server
+from agaterelay.tasks.entry import Entry
+from agaterelay.tasks.owner import Owner
+from agaterelay.tasks.upstreams import announce, announced
+
+
+async def run(settings_path: Path, document_path: Path, upstream: UpstreamInfo) -> None:
+    """Serve calls until killed."""
+    settings, _ = load_settings(settings_path)
+    clock = SystemClock()
+    timeline = Timeline(settings.peers_address, clock.now)
+    world = World(
+        settings=settings,
+        clock=clock,
+        table=None,
+        objects=None,
+        peers=None,
+        timeline=timeline,
+        record=make_recorder(timeline),
+    )
+    now = clock.now()
+    member = Member(
+        host=settings.peers_address,
+        zone=settings.zone,
+        incarnation=1,
+        sequence=1,
+        calls_address=settings.calls_address,
+        upstreams=(upstream,),
+    )
+    sections, _ = parse_document(document_path.read_text(), str(document_path))
+    manifest = Manifest(1, datetime(2026, 1, 1, tzinfo=UTC))
+    snapshot, findings = assemble(manifest, "", sections)
+    if snapshot is None:
+        raise SystemExit("\n".join(map(str, findings)))
+    board = Board(member, members={member.host: member}, active=snapshot)
+    session = aiohttp.ClientSession(auto_decompress=False)
+    owner = Owner(world, board, KeyWindow(1), session)
+    announce(owner, upstream)
+    entry = Entry(world, board, owner, session)
+    await start_calls_server(entry, settings.calls_address)
+    print("ready", now, announced(owner), flush=True)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Read the arguments and run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--settings", type=Path, required=True)
+    parser.add_argument("--document", type=Path, required=True)
+    parser.add_argument("--upstream", required=True)
+    parser.add_argument("--service", required=True)
+    arguments = parser.parse_args()
+    configure_log()
+    upstream = UpstreamInfo(arguments.service, "v1", arguments.upstream, slots=64)
+    asyncio.run(run(arguments.settings, arguments.document, upstream))
+
+
+if __name__ == "__main__":
+    main()
