Split upstreams from the owner; choose by health and by the owner's load

Cause: the life cycle of upstreams stood in the owner's module beside admission, and the entry knew only its own calls in flight, so it went on to choose upstreams that failed or were full with other nodes' calls.

The owner's answer carries its calls in flight (Agaterelay-Load). Choice goes host, zone, region, rest, with doubted hosts last.

--- a/agaterelay/core/routing.py
+++ b/agaterelay/core/routing.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from agaterelay.core.membership import Members, UpstreamInfo
+from agaterelay.core.membership import Member, Members, MemberState, UpstreamInfo
 from agaterelay.core.model import FINAL_MOVE_STATES, MoveState, Route, Snapshot
 
 PERMILLE = 1000
@@ -15,12 +15,14 @@
 
 @attrs.frozen
 class Target:
-    """An upstream and the host whose node owns it."""
+    """An upstream and the host whose node owns it; ``doubted`` where it is suspected."""
 
     host: str
     zone: str
     calls_address: str
     upstream: UpstreamInfo
+    region: str = ""
+    doubted: bool = False
 
 
 def match_route(snapshot: Snapshot, method: str, path: str) -> Route | None:
@@ -60,7 +62,14 @@
 def targets_of(members: Members, service: str, version: str) -> list[Target]:
     """Return the upstreams of a version that take new work, as far as is known."""
     return [
-        Target(member.host, member.zone, member.calls_address, upstream)
+        Target(
+            host=member.host,
+            zone=member.zone,
+            calls_address=member.calls_address,
+            upstream=upstream,
+            region=member.region,
+            doubted=member.state is not MemberState.ALIVE,
+        )
         for member in members.values()
         if member.usable
         for upstream in member.upstreams
@@ -72,26 +81,49 @@
 
 def choose_target(
     targets: Iterable[Target],
-    host: str,
-    zone: str,
+    own: Member,
     load_of: Callable[[Target], float],
     draw: random.Random,
 ) -> Target | None:
-    """Choose an upstream: this host's, else the better of two of the nearest.
+    """Choose an upstream: the better of two of the nearest that have room.
+
+    Nearest is this host, then its availability zone, its region, and the rest;
+    hosts in doubt come after all others.
 
     Args:
         targets: The candidates.
-        host: The host that asks.
-        zone: Its availability zone.
+        own: The entry of the host that asks.
         load_of: The load of a target from 0 (idle) to 1 (full) and above.
         draw: The source of chance.
     """
     targets = list(targets)
-    local = [item for item in targets if item.host == host and load_of(item) < 1]
-    near = [item for item in targets if item.zone == zone and load_of(item) < 1]
-    candidates = local or near or targets
-    if not candidates:
+    if not targets:
         return None
+    loads = {id(target): load_of(target) for target in targets}
+    free = [target for target in targets if loads[id(target)] < 1]
+    candidates = nearest(free or targets, own)
     if len(candidates) == 1:
         return candidates[0]
-    return min(draw.sample(candidates, 2), key=load_of)
+    return min(draw.sample(candidates, 2), key=lambda target: loads[id(target)])
+
+
+def nearest(targets: list[Target], own: Member) -> list[Target]:
+    """Return the targets of the smallest distance from a host."""
+    distances = [distance(target, own) for target in targets]
+    smallest = min(distances)
+    return [
+        target
+        for target, far in zip(targets, distances, strict=True)
+        if far == smallest
+    ]
+
+
+def distance(target: Target, own: Member) -> tuple[bool, int]:
+    """Return how far a target is from a host, to be compared only."""
+    if target.host == own.host:
+        return (target.doubted, 0)
+    if target.zone == own.zone:
+        return (target.doubted, 1)
+    if target.region == own.region:
+        return (target.doubted, 2)
+    return (target.doubted, 3)
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -57,12 +57,12 @@
     own_status,
     start_operators_server,
 )
-from agaterelay.tasks.owner import Owner, announced, expire_upstreams
+from agaterelay.tasks.owner import Owner
 from agaterelay.tasks.reader import run_reader
+from agaterelay.tasks.upstreams import Upstreams, run_upstreams
 
 PEER_TIMEOUT_S = 1.0
 RESTART_DELAY_S = 0.5
-UPSTREAM_CHECK_S = 0.5
 UPSTREAM_CONNECTIONS = 130
 IN_FLIGHT_POLL_S = 0.02
 EXIT_SETTINGS_INVALID = 2
@@ -86,6 +86,7 @@
     board: Board
     keeper: Keeper
     gossip: Gossip
+    upstreams: Upstreams
     owner: Owner
     entry: Entry
     mover: Mover
@@ -119,24 +120,26 @@
     )
     keeper = Keeper(world, board)
     committer = Committer(world, board, keeper)
-    owner = Owner(world, board, KeyWindow(incarnation), ports.session)
-    mover = Mover(world, board, owner, committer)
     gossip = Gossip(
         world,
         board,
         keeper,
         on_brakes=lambda brakes: take_brakes(board, world.record, brakes),
     )
+    upstreams = Upstreams(world, lambda infos: set_upstreams(gossip, infos))
+    owner = Owner(world, board, KeyWindow(incarnation), ports.session, upstreams.slots)
+    mover = Mover(world, board, owner, committer)
     metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
     return Node(
         world=world,
         board=board,
         keeper=keeper,
         gossip=gossip,
+        upstreams=upstreams,
         owner=owner,
         entry=Entry(world, board, owner, ports.session),
         mover=mover,
-        operators=Operators(world, board, owner, gossip, committer, metrics),
+        operators=Operators(world, board, upstreams, committer, metrics),
     )
 
 
@@ -160,14 +163,6 @@
     )
 
 
-async def watch_upstreams(node: Node) -> None:
-    """Forget upstreams whose heartbeat lapsed, until cancelled."""
-    while True:
-        await node.world.clock.sleep(UPSTREAM_CHECK_S)
-        expire_upstreams(node.owner)
-        set_upstreams(node.gossip, announced(node.owner))
-
-
 async def supervise(node: Node, name: str, start: Any) -> None:
     """Run a task; where it fails, record that and start it again."""
     while True:
@@ -237,7 +232,7 @@
         "keeper": lambda: run_keeper(node.keeper),
         "reader": lambda: run_reader(node.world, node.board, node.keeper),
         "gossip": lambda: run_gossip(node.gossip),
-        "upstreams": lambda: watch_upstreams(node),
+        "upstreams": lambda: run_upstreams(node.upstreams),
         "brakes": lambda: run_brakes(node.mover),
         "mover": lambda: run_mover(node.mover),
     }
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -11,6 +11,7 @@
 from agaterelay.events import EventKind
 from agaterelay.tasks.entry import (
     HOP_HEADER,
+    LOAD_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     Entry,
@@ -92,7 +93,21 @@
     finally:
         entry.owner.in_flight -= 1
     _note(entry, request, outcome)
-    return respond(outcome)
+    response = respond(outcome)
+    if HOP_HEADER in request.headers:
+        response.headers[LOAD_HEADER] = str(_in_flight(entry, request))
+    return response
+
+
+def _in_flight(entry: Entry, request: web.BaseRequest) -> int:
+    """Return the calls in flight on the upstreams that a hop was for."""
+    service = request.headers.get("Agaterelay-Service", "")
+    version = request.headers.get("Agaterelay-Version", "")
+    return sum(
+        item.in_flight
+        for item in entry.owner.slots.values()
+        if item.info.service == service and item.info.version == version
+    )
 
 
 def _note(entry: Entry, request: web.BaseRequest, outcome: Outcome) -> None:
--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -12,6 +12,13 @@
 import aiohttp
 import attrs
 
+from agaterelay.core.health import (
+    Health,
+    load_of,
+    note_load,
+    observe,
+    usable_targets,
+)
 from agaterelay.core.keys import Key, mint_key, parse_key
 from agaterelay.core.model import Route, Snapshot
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
@@ -30,6 +37,7 @@
 OUTCOME_HEADER = "Agaterelay-Outcome"
 REASON_HEADER = "Agaterelay-Reason"
 HOP_HEADER = "Agaterelay-Hop"
+LOAD_HEADER = "Agaterelay-Load"
 
 
 @attrs.frozen
@@ -56,6 +64,7 @@
     session: aiohttp.ClientSession
     draw: random.Random = attrs.field(factory=random.Random)
     in_flight: dict[str, int] = attrs.field(factory=dict)
+    health: Health = attrs.field(factory=Health)
 
 
 async def handle_request(entry: Entry, request: Request) -> Outcome:
@@ -147,12 +156,12 @@
             for target in targets_of(entry.board.members, route.service, name)
             if target.upstream.address not in tried
         ]
+        now_s = entry.world.clock.monotonic_s()
+        usable = usable_targets(
+            entry.health, targets, now_s, route.idempotent, entry.draw
+        )
         chosen = choose_target(
-            targets,
-            entry.board.own.host,
-            entry.world.settings.zone,
-            lambda target: _load(entry, target),
-            entry.draw,
+            usable, entry.board.own, lambda target: _load(entry, target), entry.draw
         )
         if chosen is not None:
             return chosen
@@ -161,7 +170,8 @@
 
 def _load(entry: Entry, target: Target) -> float:
     in_flight = entry.in_flight.get(target.upstream.address, 0)
-    return in_flight / max(target.upstream.slots, 1)
+    now_s = entry.world.clock.monotonic_s()
+    return load_of(entry.health, target, in_flight, now_s)
 
 
 async def _dispatch(
@@ -188,10 +198,16 @@
     )
     address = target.upstream.address
     entry.in_flight[address] = entry.in_flight.get(address, 0) + 1
+    started_s = entry.world.clock.monotonic_s()
     try:
         if target.host == entry.board.own.host:
-            return await run_call(entry.owner, call)
-        return await _forward(entry, call, target)
+            outcome = await run_call(entry.owner, call)
+        else:
+            outcome = await _forward(entry, call, target)
+        now_s = entry.world.clock.monotonic_s()
+        latency_ms = (now_s - started_s) * 1000
+        observe(entry.health, target, outcome, latency_ms, now_s)
+        return outcome
     finally:
         entry.in_flight[address] -= 1
         if not entry.in_flight[address]:
@@ -222,6 +238,7 @@
                 headers=headers,
                 allow_redirects=False,
             ) as response:
+                _note_load(entry, target, response.headers.get(LOAD_HEADER, ""))
                 return _outcome_of(response, await response.read())
     except aiohttp.ClientConnectorError:
         return NotRun("the upstream's node cannot be reached")
@@ -229,6 +246,16 @@
         return Unknown(f"the answer was lost: {type(error).__name__}")
 
 
+def _note_load(entry: Entry, target: Target, report: str) -> None:
+    if not report.isdecimal() or len(report) > 6:
+        return
+    address = target.upstream.address
+    now_s = entry.world.clock.monotonic_s()
+    note_load(
+        entry.health, address, int(report), entry.in_flight.get(address, 0), now_s
+    )
+
+
 def _outcome_of(response: aiohttp.ClientResponse, body: bytes) -> Outcome:
     kind = response.headers.get(OUTCOME_HEADER, "")
     reason = response.headers.get(REASON_HEADER, "")
--- a/agaterelay/tasks/operators.py
+++ b/agaterelay/tasks/operators.py
@@ -41,8 +41,7 @@
 from agaterelay.ports import PlatformError
 from agaterelay.tasks.board import Board, World
 from agaterelay.tasks.committer import Committer, commit_change, commit_move
-from agaterelay.tasks.gossip import Gossip, set_upstreams
-from agaterelay.tasks.owner import Owner, announce, announced, withdraw
+from agaterelay.tasks.upstreams import Upstreams, announce, withdraw
 
 MAX_EVENTS = 2000
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
@@ -55,8 +54,7 @@
 
     world: World
     board: Board
-    owner: Owner
-    gossip: Gossip
+    upstreams: Upstreams
     committer: Committer
     metrics: Metrics
 
@@ -124,14 +122,12 @@
         connections=max(0, min(_field(body, "connections", int, 0), 100_000)),
         draining=_field(body, "draining", bool, False),
     )
-    announce(operators.owner, info)
-    set_upstreams(operators.gossip, announced(operators.owner))
+    announce(operators.upstreams, info)
     return web.json_response({})
 
 
 async def _withdraw(operators: Operators, request: web.Request) -> web.Response:
-    withdraw(operators.owner, request.match_info["address"])
-    set_upstreams(operators.gossip, announced(operators.owner))
+    withdraw(operators.upstreams, request.match_info["address"])
     return web.json_response({})
 
 
--- a/agaterelay/tasks/owner.py
+++ b/agaterelay/tasks/owner.py
@@ -15,12 +15,9 @@
 from agaterelay.core.admission import Slots, UpstreamSlots, admit, release
 from agaterelay.core.evidence import Evidence, Tally, count_call
 from agaterelay.core.keys import Key, KeyWindow, claim, settle
-from agaterelay.core.membership import UpstreamInfo
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
-from agaterelay.events import EventKind
 from agaterelay.tasks.board import Board, World
 
-HEARTBEAT_TIMEOUT_S = 4.0
 MAX_ANSWER_BYTES = 4 << 20
 NOT_RUN_HEADER = "Not-Run"
 _HOP_BY_HOP = frozenset(
@@ -59,44 +56,6 @@
     in_flight: int = 0
 
 
-def announce(owner: Owner, info: UpstreamInfo) -> None:
-    """Take in or renew the announcement of an upstream."""
-    now_s = owner.world.clock.monotonic_s()
-    known = owner.slots.get(info.address)
-    if known is None:
-        owner.slots[info.address] = UpstreamSlots(info, now_s)
-        owner.world.record(
-            EventKind.UPSTREAM_ANNOUNCED,
-            upstream=info.address,
-            service=info.service,
-            version=info.version,
-        )
-        return
-    if info.draining and not known.info.draining:
-        owner.world.record(EventKind.UPSTREAM_DRAINING, upstream=info.address)
-    known.info = info
-    known.heartbeat_s = now_s
-
-
-def withdraw(owner: Owner, address: str) -> None:
-    """Forget an upstream that leaves."""
-    if owner.slots.pop(address, None) is not None:
-        owner.world.record(EventKind.UPSTREAM_WITHDRAWN, upstream=address)
-
-
-def expire_upstreams(owner: Owner) -> None:
-    """Forget upstreams whose heartbeat lapsed."""
-    now_s = owner.world.clock.monotonic_s()
-    for address, item in list(owner.slots.items()):
-        if now_s - item.heartbeat_s > HEARTBEAT_TIMEOUT_S:
-            withdraw(owner, address)
-
-
-def announced(owner: Owner) -> tuple[UpstreamInfo, ...]:
-    """Return this host's upstreams, sorted by address."""
-    return tuple(owner.slots[address].info for address in sorted(owner.slots))
-
-
 async def run_call(owner: Owner, call: Call) -> Outcome:
     """Admit a call and run it at most once."""
     if call.key is not None:
--- /dev/null
+++ b/agaterelay/tasks/upstreams.py
@@ -0,0 +1,76 @@
+"""This host's upstreams: announce, renew, drain, withdraw, and expire.
+
+An upstream leaves in the moment it says so: admission reads the same slots, so its
+own node gives it no new work from then on, whatever other hosts still believe.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from agaterelay.core.admission import Slots, UpstreamSlots
+from agaterelay.core.membership import UpstreamInfo
+from agaterelay.events import EventKind
+from agaterelay.tasks.board import World
+
+HEARTBEAT_TIMEOUT_S = 4.0
+CHECK_PERIOD_S = 0.5
+
+
+@attrs.define
+class Upstreams:
+    """The upstreams of this host; ``publish`` tells the fleet of them."""
+
+    world: World
+    publish: Callable[[tuple[UpstreamInfo, ...]], None]
+    slots: Slots = attrs.field(factory=dict)
+
+
+def announce(upstreams: Upstreams, info: UpstreamInfo) -> None:
+    """Take in or renew the announcement of an upstream."""
+    now_s = upstreams.world.clock.monotonic_s()
+    known = upstreams.slots.get(info.address)
+    if known is None:
+        upstreams.slots[info.address] = UpstreamSlots(info, now_s)
+        upstreams.world.record(
+            EventKind.UPSTREAM_ANNOUNCED,
+            upstream=info.address,
+            service=info.service,
+            version=info.version,
+        )
+    else:
+        if info.draining and not known.info.draining:
+            upstreams.world.record(EventKind.UPSTREAM_DRAINING, upstream=info.address)
+        known.info = info
+        known.heartbeat_s = now_s
+    upstreams.publish(announced(upstreams))
+
+
+def withdraw(upstreams: Upstreams, address: str) -> None:
+    """Forget an upstream that leaves; its calls in flight go on."""
+    if upstreams.slots.pop(address, None) is not None:
+        upstreams.world.record(EventKind.UPSTREAM_WITHDRAWN, upstream=address)
+        upstreams.publish(announced(upstreams))
+
+
+def expire_upstreams(upstreams: Upstreams) -> None:
+    """Forget upstreams whose heartbeat lapsed."""
+    now_s = upstreams.world.clock.monotonic_s()
+    for address, item in list(upstreams.slots.items()):
+        if now_s - item.heartbeat_s > HEARTBEAT_TIMEOUT_S:
+            withdraw(upstreams, address)
+
+
+def announced(upstreams: Upstreams) -> tuple[UpstreamInfo, ...]:
+    """Return this host's upstreams, sorted by address."""
+    slots = upstreams.slots
+    return tuple(slots[address].info for address in sorted(slots))
+
+
+async def run_upstreams(upstreams: Upstreams) -> None:
+    """Expire upstreams until cancelled."""
+    while True:
+        await upstreams.world.clock.sleep(CHECK_PERIOD_S)
+        expire_upstreams(upstreams)
