--- a/agaterelay/tasks/operators/moves.py
+++ b/agaterelay/tasks/operators/moves.py
@@ -5,20 +5,20 @@
 import attrs
 from aiohttp import web
 
-from agaterelay.core.commit import key_matches
 from agaterelay.core.manifest import plain
 from agaterelay.core.model import FINAL_MOVE_STATES, MoveState, Snapshot
-from agaterelay.core.snapshot import ADMIN_OWNER
 from agaterelay.ports import PlatformError
 from agaterelay.tasks.committer import commit_move
-from agaterelay.tasks.operators.requests import Operators, key_of
+from agaterelay.tasks.operators.requests import Operators, key_is_of, key_of, refuse
 
 
 async def show_moves(operators: Operators, _: web.Request) -> web.Response:
     """Return how far every move has come."""
     snapshot = operators.board.active
     moves = [plain(item) for item in snapshot.manifest.moves] if snapshot else []
-    return web.json_response({"moves": moves})
+    brakes = [attrs.asdict(item) for item in operators.board.brakes.values()]
+    revision = snapshot.revision if snapshot else 0
+    return web.json_response({"revision": revision, "moves": moves, "brakes": brakes})
 
 
 async def take_back(operators: Operators, request: web.Request) -> web.Response:
@@ -27,11 +27,14 @@
     name = request.match_info["name"]
     progress = snapshot.progress.get(name) if snapshot else None
     if progress is None:
-        return web.json_response({"error": "unknown-move"}, status=404)
-    if not _owns_move(operators, snapshot, name, key_of(request)):
-        return web.json_response({"error": "forbidden"}, status=403)
+        return refuse(404, "unknown-move", "there is no such move")
+    owner = _owner_of_move(snapshot, name)
+    if not key_is_of(operators, key_of(request), owner):
+        message = f"move {name!r} belongs to owner {owner!r}, and the key is not theirs"
+        return refuse(403, "forbidden", message)
     if progress.state in FINAL_MOVE_STATES:
-        return web.json_response({"error": "finished"}, status=409)
+        message = f"move {name!r} is {progress.state} already"
+        return refuse(409, "finished", message)
     now = operators.world.clock.now()
     taken_back = attrs.evolve(
         progress,
@@ -41,21 +44,20 @@
         finished_at=now,
     )
     change_id = f"{name}:{snapshot.revision}:take-back"
+    note = f"{name} taken back by an operator"
     try:
-        record = await commit_move(
-            operators.committer, taken_back, change_id, f"{name} taken back"
-        )
+        record = await commit_move(operators.committer, taken_back, change_id, note)
     except PlatformError as error:
-        return web.json_response(
-            {"error": "platform", "message": str(error)}, status=503
-        )
-    return web.json_response(plain(record) if record else {})
+        message = f"it is not known whether the move was taken back: {error}"
+        return refuse(503, "platform", message)
+    if record is None:
+        message = f"move {name!r} is not open any more"
+        return refuse(409, "finished", message)
+    return web.json_response(plain(record))
 
 
-def _owns_move(operators: Operators, snapshot: Snapshot, move: str, key: str) -> bool:
+def _owner_of_move(snapshot: Snapshot, move: str) -> str:
     for section in snapshot.sections:
         if any(item.name == move for item in section.moves):
-            if section.owner == ADMIN_OWNER:
-                return key_matches(key, operators.world.settings.admin_key_sha256)
-            return key_matches(key, snapshot.owners[section.owner].key_sha256)
-    return False
+            return section.owner
+    return ""
