--- a/agaterelay/adapters/log.py
+++ b/agaterelay/adapters/log.py
@@ -9,11 +9,22 @@
 
 import structlog
 
-from agaterelay.core.timeline import Timeline, record
+from agaterelay.core.timeline import RateLimit, Timeline, record, take_place
 from agaterelay.events import EventKind
 
 Recorder = Callable[..., None]
 
+MAX_MESSAGE_LENGTH = 300
+LIMITED_KINDS = frozenset(
+    {
+        EventKind.CALL_NOT_RUN,
+        EventKind.CALL_UNKNOWN,
+        EventKind.CALL_FAILED,
+        EventKind.CALL_TRY_ENDED,
+        EventKind.LIBRARY_WARNING,
+    }
+)
+
 
 def configure_log() -> None:
     """Write logs as JSON lines to standard error."""
@@ -28,10 +39,24 @@
 
 
 def make_recorder(timeline: Timeline) -> Recorder:
-    """Return a function that records an event with its fields."""
+    """Return a function that records an event with its fields.
+
+    Events of single calls are limited to some a second, so that they cannot push
+    everything else out of the ring; the next one says how many were left out.
+    """
     logger = structlog.get_logger()
+    limits = {kind: RateLimit() for kind in LIMITED_KINDS}
 
     def record_event(kind: EventKind, **fields: Any) -> None:
+        if kind in limits:
+            suppressed = take_place(limits[kind], timeline.now().timestamp())
+            if suppressed is None:
+                return
+            if suppressed:
+                fields["suppressed"] = suppressed
+        for name, value in fields.items():
+            if isinstance(value, str) and len(value) > MAX_MESSAGE_LENGTH:
+                fields[name] = value[:MAX_MESSAGE_LENGTH]
         event = record(timeline, kind.number, kind.name.lower(), fields)
         logger.info(
             event.name,
@@ -43,3 +68,32 @@
         )
 
     return record_event
+
+
+class LibraryHandler(logging.Handler):
+    """Turns the libraries' warnings into numbered events, without their tracebacks."""
+
+    def __init__(self, record_event: Recorder) -> None:
+        super().__init__(logging.WARNING)
+        self._record_event = record_event
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Record one warning."""
+        try:
+            message = record.getMessage()
+        except (TypeError, ValueError):
+            message = str(record.msg)
+        error = record.exc_info[1] if record.exc_info else None
+        self._record_event(
+            EventKind.LIBRARY_WARNING,
+            library=record.name,
+            message=message[:MAX_MESSAGE_LENGTH],
+            error=f"{type(error).__name__}: {error}"[:MAX_MESSAGE_LENGTH]
+            if error
+            else "",
+        )
+
+
+def record_library_warnings(record_event: Recorder) -> None:
+    """Send what libraries log as warnings or worse to the process's events."""
+    logging.getLogger().handlers = [LibraryHandler(record_event)]
--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -16,7 +16,7 @@
     NodeStatus,
     Notify,
 )
-from agaterelay.core.timeline import Stamp
+from agaterelay.core.timeline import EventsQuery
 from agaterelay.ports import PeerError
 from agaterelay.proto import peer_pb2 as pb, peer_pb2_grpc
 
@@ -93,12 +93,9 @@
             wire.evidence_from_wire(reply.routes), wire.brakes_from_wire(reply.brakes)
         )
 
-    async def events(self, host: str, after: Stamp, most: int) -> EventsReport:
-        """Ask a host for its newest events."""
-        request = pb.EventsRequest(
-            protocol=wire.PROTOCOL, after=wire.stamp_to_wire(after), most=most
-        )
-        reply = await self._call(host, "Events", request)
+    async def events(self, host: str, query: EventsQuery) -> EventsReport:
+        """Ask a host for its newest events that a query asks for."""
+        reply = await self._call(host, "Events", wire.query_to_wire(query))
         return EventsReport(tuple(wire.event_from_wire(item) for item in reply.events))
 
     async def status(self, host: str) -> NodeStatus:
@@ -122,7 +119,7 @@
     fetch: Callable[[tuple[str, ...]], Awaitable[Fetched]]
     witness: Callable[[str, int], int]
     evidence: Callable[[str], EvidenceReport]
-    events: Callable[[Stamp, int], EventsReport]
+    events: Callable[[EventsQuery], EventsReport]
     status: Callable[[], NodeStatus]
 
 
@@ -183,8 +180,7 @@
     async def Events(self, request, context):  # noqa: N802
         """Hand out events."""
         await self._check(request, context)
-        after = wire.stamp_from_wire(request.after)
-        report = self._handlers.events(after, request.most)
+        report = self._handlers.events(wire.query_from_wire(request))
         return pb.EventsReply(
             events=[wire.event_to_wire(item) for item in report.events]
         )
--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -10,7 +10,7 @@
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
 from agaterelay.core.messages import Brake, Exchange, NodeStatus, Notify
 from agaterelay.core.model import Head
-from agaterelay.core.timeline import Event, Stamp
+from agaterelay.core.timeline import Event, EventsQuery, Stamp
 from agaterelay.proto import peer_pb2 as pb
 
 PROTOCOL = 1
@@ -219,6 +219,33 @@
     )
 
 
+def query_to_wire(query: EventsQuery) -> pb.EventsRequest:
+    """Return the request of a query for events."""
+    return pb.EventsRequest(
+        protocol=PROTOCOL,
+        after=stamp_to_wire(query.after),
+        most=query.most,
+        change=query.change,
+        revision=query.revision,
+        move=query.move,
+        request=query.request,
+        number=query.number,
+    )
+
+
+def query_from_wire(message: pb.EventsRequest) -> EventsQuery:
+    """Return the query of a request."""
+    return EventsQuery(
+        after=stamp_from_wire(message.after),
+        most=message.most,
+        change=message.change,
+        revision=message.revision,
+        move=message.move,
+        request=message.request,
+        number=message.number,
+    )
+
+
 def status_to_wire(status: NodeStatus) -> pb.StatusReply:
     """Return the reply of a node's status."""
     return pb.StatusReply(**attrs.asdict(status))
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -28,10 +28,13 @@
     DRAIN_ASKED = (313, "An operator began or ended a drain.")
     CALL_NOT_RUN = (400, "A call was refused before any of it ran.")
     CALL_UNKNOWN = (401, "It is unknown whether a call ran.")
+    CALL_FAILED = (402, "An upstream answered a call with a server error.")
+    CALL_TRY_ENDED = (403, "One try of a call ended without an answer.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node sends the new version no more work.")
     MOVE_FINISHED = (502, "A move is done or reverted.")
     TASK_FAILED = (900, "A task failed and was started again.")
+    LIBRARY_WARNING = (901, "A library logged a warning.")
 
     @property
     def number(self) -> int:
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -158,7 +158,7 @@
         fetch=lambda digests: serve_fetch(node.keeper, digests),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
         evidence=lambda move: serve_evidence(node.mover, move),
-        events=lambda after, most: own_events(node.world, after, most),
+        events=lambda query: own_events(node.world, query),
         status=lambda: own_status(node.board),
     )
 
--- a/agaterelay/ports.py
+++ b/agaterelay/ports.py
@@ -15,7 +15,7 @@
     NodeStatus,
     Notify,
 )
-from agaterelay.core.timeline import Stamp
+from agaterelay.core.timeline import EventsQuery
 
 
 class PlatformError(Exception):
@@ -107,8 +107,8 @@
     async def evidence(self, host: str, move: str) -> EvidenceReport:
         """Ask a host what it saw of a move."""
 
-    async def events(self, host: str, after: Stamp, most: int) -> EventsReport:
-        """Ask a host for its newest events."""
+    async def events(self, host: str, query: EventsQuery) -> EventsReport:
+        """Ask a host for its newest events that a query asks for."""
 
     async def status(self, host: str) -> NodeStatus:
         """Ask a host which revision it serves."""
--- a/agaterelay/tasks/operators/__init__.py
+++ b/agaterelay/tasks/operators/__init__.py
@@ -1,6 +1,7 @@
 """The operators' HTTP server, one module a group of endpoints."""
 
-from agaterelay.tasks.operators.fleet import own_events, own_status
+from agaterelay.tasks.operators.events import own_events
+from agaterelay.tasks.operators.fleet import own_status
 from agaterelay.tasks.operators.requests import Operators
 from agaterelay.tasks.operators.server import start_operators_server
 
--- a/agaterelay/tasks/operators/fleet.py
+++ b/agaterelay/tasks/operators/fleet.py
@@ -1,19 +1,21 @@
-"""Endpoints on the fleet: this node, all nodes, the time line, the metrics."""
+"""Endpoints on the fleet: this node, all nodes, the metrics."""
 
 from __future__ import annotations
 
 import asyncio
-import json
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
 
 import attrs
 from aiohttp import web
 
-from agaterelay.core.messages import EventsReport, NodeStatus
-from agaterelay.core.timeline import Event, Stamp, merge_events
-from agaterelay.tasks.board import Board, World
+from agaterelay.core.membership import Member, MemberState
+from agaterelay.core.messages import NodeStatus
+from agaterelay.ports import PeerError
+from agaterelay.tasks.board import Board
 from agaterelay.tasks.operators.requests import Operators
 
-MAX_EVENTS = 2000
+MAX_CONCURRENT_ASKS = 32
 
 
 def own_status(board: Board) -> NodeStatus:
@@ -29,10 +31,35 @@
     )
 
 
-def own_events(world: World, after: Stamp, most: int) -> EventsReport:
-    """Return this node's newest events after a stamp."""
-    events = [event for event in world.timeline.ring if event.stamp > after]
-    return EventsReport(tuple(events[-min(most, MAX_EVENTS) :]))
+async def ask_hosts(
+    hosts: Iterable[str], ask: Callable[[str], Awaitable[Any]]
+) -> dict[str, Any]:
+    """Ask many hosts, some at a time.
+
+    Returns:
+        The answers by host; None for a host that did not answer.
+    """
+    permits = asyncio.Semaphore(MAX_CONCURRENT_ASKS)
+
+    async def ask_one(host: str) -> Any:
+        async with permits:
+            try:
+                return await ask(host)
+            except PeerError:
+                return None
+
+    hosts = list(hosts)
+    answers = await asyncio.gather(*(ask_one(host) for host in hosts))
+    return dict(zip(hosts, answers, strict=True))
+
+
+def other_hosts(board: Board) -> list[str]:
+    """Return the hosts whose nodes may answer, sorted, without this one."""
+    return sorted(
+        member.host
+        for member in board.members.values()
+        if member.usable and member.host != board.own.host
+    )
 
 
 async def show_node(operators: Operators, _: web.Request) -> web.Response:
@@ -41,56 +68,46 @@
 
 
 async def show_status(operators: Operators, _: web.Request) -> web.Response:
-    """Return what every reachable node says of itself."""
+    """Return what every node says of itself, and which of them do not answer.
+
+    A host that gossip declared dead is ``lost``; one that is still believed to be
+    alive but does not answer this node is ``unreachable``.
+    """
     board = operators.board
-    members = [member for member in board.members.values() if member.usable]
-    answers = await asyncio.gather(
-        *(
-            operators.world.peers.status(member.host)
-            for member in members
-            if member.host != board.own.host
-        ),
-        return_exceptions=True,
-    )
-    others = [member.host for member in members if member.host != board.own.host]
-    nodes = [attrs.asdict(own_status(board))]
-    unreachable = []
-    for host, answer in zip(others, answers, strict=True):
-        if isinstance(answer, NodeStatus):
-            nodes.append(attrs.asdict(answer))
-        else:
-            unreachable.append(host)
-    nodes.sort(key=lambda node: node["host"])
-    upstreams = [
-        {**attrs.asdict(item), "host": member.host, "zone": member.zone}
-        for member in members
-        for item in member.upstreams
+    answers = await ask_hosts(other_hosts(board), operators.world.peers.status)
+    answers[board.own.host] = own_status(board)
+    nodes = [
+        {**attrs.asdict(answer), "operators_address": _operators_address(board, host)}
+        for host, answer in sorted(answers.items())
+        if answer is not None
+    ]
+    lost = [
+        member for member in board.members.values() if member.state is MemberState.DEAD
     ]
+    unreachable = sorted(host for host, answer in answers.items() if answer is None)
     return web.json_response(
-        {"nodes": nodes, "unreachable": unreachable, "upstreams": upstreams}
+        {
+            "nodes": nodes,
+            "unreachable": unreachable,
+            "lost": sorted(member.host for member in lost),
+            "zones": {member.host: member.zone for member in board.members.values()},
+            "upstreams": _upstreams(board.members.values()),
+        }
     )
 
 
-async def show_timeline(operators: Operators, request: web.Request) -> web.Response:
-    """Return the events of all reachable nodes in causal order."""
-    hosts = [
-        member.host
-        for member in operators.board.members.values()
-        if member.usable and member.host != operators.board.own.host
+def _operators_address(board: Board, host: str) -> str:
+    member = board.members.get(host)
+    return member.operators_address if member else board.own.operators_address
+
+
+def _upstreams(members: Iterable[Member]) -> list[dict[str, Any]]:
+    return [
+        {**attrs.asdict(item), "host": member.host, "zone": member.zone}
+        for member in sorted(members, key=lambda member: member.host)
+        if member.usable
+        for item in member.upstreams
     ]
-    reports = await asyncio.gather(
-        *(operators.world.peers.events(host, Stamp(), MAX_EVENTS) for host in hosts),
-        return_exceptions=True,
-    )
-    events: list[Event] = list(own_events(operators.world, Stamp(), MAX_EVENTS).events)
-    for report in reports:
-        if isinstance(report, EventsReport):
-            events.extend(report.events)
-    merged = merge_events(events)[-MAX_EVENTS:]
-    return web.json_response(
-        {"events": [attrs.asdict(event) for event in merged]},
-        dumps=lambda value: json.dumps(value, default=str),
-    )
 
 
 async def show_metrics(operators: Operators, _: web.Request) -> web.Response:
--- a/agaterelay/tasks/operators/server.py
+++ b/agaterelay/tasks/operators/server.py
@@ -11,7 +11,7 @@
 
 from agaterelay.core.parse import MAX_DOCUMENT_BYTES
 from agaterelay.events import EventKind
-from agaterelay.tasks.operators import document, fleet, moves, upstreams
+from agaterelay.tasks.operators import document, events, fleet, moves, upstreams
 from agaterelay.tasks.operators.requests import BadRequestError, Operators, refuse
 
 MAX_ERROR_LENGTH = 300
@@ -30,7 +30,7 @@
     ("POST", "/v1/moves/{name}/take-back", moves.take_back),
     ("GET", "/v1/node", fleet.show_node),
     ("GET", "/v1/status", fleet.show_status),
-    ("GET", "/v1/timeline", fleet.show_timeline),
+    ("GET", "/v1/timeline", events.show_timeline),
     ("GET", "/metrics", fleet.show_metrics),
 )
 
