Keep the upstreams' records when an upstream is killed

Cause: records lived in the stand-in's memory, so a killed upstream took with it the proof that a call ran; a doubled call could go unseen. Change: the stand-in appends each run to a file, and traffic.count_runs(running) reads the files of all upstreams, dead ones too.

--- a/demo/story.py
+++ b/demo/story.py
@@ -26,7 +26,6 @@
 )
 from standins.traffic import (
     Traffic,
-    all_upstreams,
     count_runs,
     find_problems,
     start_traffic,
@@ -168,7 +167,7 @@
         wait_until(lambda: has_upstreams(story, running), "the upstreams' announcement")
         traffic = run_story(story, running)
         run_command("status", "--node", running.hosts[-1].operators)
-        problems = find_problems(traffic, count_runs(all_upstreams(running)))
+        problems = find_problems(traffic, count_runs(running))
     kinds = Counter(type(outcome).__name__ for outcome in traffic.outcomes.values())
     print(f"calls: {len(traffic.outcomes)}, outcomes: {dict(kinds)}")
     print(f"lost, doubled, crossed or falsely refused calls: {len(problems)}")
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -30,6 +30,7 @@
 PLATFORM_PORT = 7100
 LOCK_PORT = 7999
 FIRST_BLOCK, LAST_BLOCK = 20, 220
+RECORDS_SUFFIX = ".records"
 ADMIN_KEY = "admin-key"
 FAULT_PORT = 7003
 START_TIMEOUT_S = 20.0
@@ -192,6 +193,7 @@
     address = f"{host.ip}:{port}"
     arguments = ["standins.upstream", "--listen", address, "--node", host.operators]
     arguments += ["--service", service, "--version", version]
+    arguments += ["--records", str(running.folder / f"{address}{RECORDS_SUFFIX}")]
     for name, value in options.items():
         arguments += ["--" + name.replace("_", "-"), str(value)]
     host.upstreams[address] = spawn(running, f"upstream-{address}", arguments)
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -11,13 +11,13 @@
 import threading
 import uuid
 from collections import Counter
-from collections.abc import Iterable
+from typing import Any
 
 import attrs
 
 from agaterelay.client import Caller
 from agaterelay.core.outcome import Answered, NotRun, Outcome
-from standins.deployment import Deployment, fetch
+from standins.deployment import RECORDS_SUFFIX, Deployment
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
 
@@ -90,31 +90,22 @@
     )
 
 
-def count_runs(upstreams: Iterable[str]) -> Counter[str]:
-    """Return how often each request id ran, by the upstreams' own records."""
-    runs: Counter[str] = Counter()
-    for address in upstreams:
-        for entry in fetch(f"http://{address}/-/records") or ():
-            runs[entry["request_id"]] += 1
-    return runs
-
+def read_records(running: Deployment) -> list[dict[str, Any]]:
+    """Return the records of all upstreams, also of those that are gone."""
+    return [
+        json.loads(line)
+        for path in sorted(running.folder.glob(f"*{RECORDS_SUFFIX}"))
+        for line in path.read_text().splitlines()
+    ]
 
-def all_upstreams(running: Deployment) -> list[str]:
-    """Return the addresses of all upstreams of a deployment."""
-    return [address for host in running.hosts for address in host.upstreams]
 
+def count_runs(running: Deployment) -> Counter[str]:
+    """Return how often each request id ran, by the upstreams' own records."""
+    return Counter(entry["request_id"] for entry in read_records(running))
 
-def find_problems(
-    traffic: Traffic, runs: Counter[str], complete: bool = True
-) -> list[str]:
-    """Return what is wrong with the callers' records against the upstreams'.
 
-    Args:
-        traffic: The callers' records.
-        runs: The upstreams' records.
-        complete: Whether no upstream's record was lost by its death; otherwise a call
-            that was answered may be missing in the records.
-    """
+def find_problems(traffic: Traffic, runs: Counter[str]) -> list[str]:
+    """Return what is wrong with the callers' records against the upstreams'."""
     problems = []
     for request_id, outcome in traffic.outcomes.items():
         method, path = traffic.sent[request_id]
@@ -125,7 +116,7 @@
         if once and isinstance(outcome, NotRun) and runs[request_id]:
             problems.append(f"{name} ran, but was refused as not run")
         if isinstance(outcome, Answered) and outcome.status == 200:
-            if complete and not runs[request_id]:
+            if not runs[request_id]:
                 problems.append(f"{name} was answered, but never ran")
             if json.loads(outcome.body)["request_id"] != request_id:
                 problems.append(f"{name} got another call's answer")
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -1,7 +1,7 @@
 """A small stand-in for an upstream: slots, drain, deadlines, good and bad versions.
 
-It announces itself to its host's node, and keeps a record of everything it ran, which
-tests compare with the callers' own records.
+It announces itself to its host's node, and writes a record of everything it ran, which
+tests compare with the callers' own records. The record outlives the process.
 """
 
 from __future__ import annotations
@@ -9,10 +9,12 @@
 import argparse
 import asyncio
 import contextlib
+import json
 import random
 import signal
 import time
-from collections import deque
+from pathlib import Path
+from typing import TextIO
 
 import aiohttp
 import attrs
@@ -53,7 +55,7 @@
     started_s: float = attrs.field(factory=time.monotonic)
     in_flight: int = 0
     draining: bool = False
-    records: deque[dict] = attrs.field(factory=lambda: deque(maxlen=200_000))
+    records: TextIO | None = None
 
 
 def is_bad_now(upstream: Upstream, path: str) -> bool:
@@ -84,7 +86,9 @@
         "at": time.time(),
         "version": upstream.version,
     }
-    upstream.records.append(entry)
+    if upstream.records is not None:
+        upstream.records.write(json.dumps(entry) + "\n")
+        upstream.records.flush()
     try:
         return await answer_call(upstream, request, body, draw)
     finally:
@@ -159,9 +163,6 @@
     async def handle(request: web.Request) -> web.StreamResponse:
         return await run_call(upstream, request, draw)
 
-    async def show_records(_: web.Request) -> web.Response:
-        return web.json_response(list(upstream.records))
-
     async def set_behaviour(request: web.Request) -> web.Response:
         upstream.behaviour = Behaviour(**await request.json())
         upstream.started_s = time.monotonic()
@@ -171,7 +172,6 @@
         return web.json_response({"healthy": True, "load": 0.0})
 
     application = web.Application(client_max_size=8 << 20)
-    application.router.add_get("/-/records", show_records)
     application.router.add_put("/-/behaviour", set_behaviour)
     application.router.add_get("/-/health", show_health)
     application.router.add_route("*", "/{path:.*}", handle)
@@ -208,6 +208,7 @@
     parser.add_argument("--slots", type=int, default=12)
     parser.add_argument("--connections", type=int, default=130)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--records", type=Path, help="where to append what ran")
     for field in attrs.fields(Behaviour):
         option = "--" + field.name.replace("_", "-")
         parser.add_argument(option, type=type(field.default), default=field.default)
@@ -225,6 +226,7 @@
         slots=arguments.slots,
         connections=arguments.connections,
         behaviour=behaviour,
+        records=arguments.records.open("a") if arguments.records else None,
     )
     asyncio.run(serve(upstream, arguments.node, arguments.seed))
 
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -228,5 +228,5 @@
 @then("no call was lost, doubled, crossed or falsely refused")
 def _no_problems(site):
     callers.stop_traffic(site.traffic)
-    runs = callers.count_runs(callers.all_upstreams(site.running))
+    runs = callers.count_runs(site.running)
     assert callers.find_problems(site.traffic, runs) == []
