--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 
 proto: setup
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. agaterelay/proto/peer.proto
+
+fuzz: setup
+	$(PYTHON) -m pytest --hypothesis-profile=fuzz tests/core tests/adapters tests/tasks
