--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import attrs
 import grpc
@@ -34,29 +35,60 @@
 
 
 class PeerClient:
-    """Calls other nodes; keeps one channel to each that was called."""
+    """Calls other nodes; keeps one channel to each that was called.
 
-    def __init__(self, timeout_s: float) -> None:
+    ``count`` is told of every message: the method, and the bytes sent and received.
+    """
+
+    def __init__(
+        self,
+        timeout_s: float,
+        credentials: grpc.ChannelCredentials | None = None,
+        count: Callable[[str, int, int], None] = lambda method, sent, received: None,
+    ) -> None:
         self._timeout_s = timeout_s
+        self._credentials = credentials
+        self.count = count
         self._stubs: dict[str, tuple[grpc.aio.Channel, peer_pb2_grpc.PeerStub]] = {}
 
+    def _open_channel(self, host: str) -> grpc.aio.Channel:
+        if self._credentials is None:
+            return grpc.aio.insecure_channel(host, options=_OPTIONS)
+        return grpc.aio.secure_channel(host, self._credentials, options=_OPTIONS)
+
     def _stub(self, host: str) -> peer_pb2_grpc.PeerStub:
         if host not in self._stubs:
-            channel = grpc.aio.insecure_channel(host, options=_OPTIONS)
+            channel = self._open_channel(host)
             self._stubs[host] = (channel, peer_pb2_grpc.PeerStub(channel))
         return self._stubs[host][1]
 
-    async def _call(self, host: str, method: str, request: object) -> object:
+    async def _call(
+        self,
+        host: str,
+        method: str,
+        request: Any,
+        decode: Callable[[Any], Any] = lambda reply: reply,
+    ) -> Any:
+        """Send a request and decode its reply.
+
+        Raises:
+            PeerError: There was no answer, or one that makes no sense.
+        """
         try:
             stub = self._stub(host)
-            return await getattr(stub, method)(request, timeout=self._timeout_s)
+            reply = await getattr(stub, method)(request, timeout=self._timeout_s)
+            self.count(method, request.ByteSize(), reply.ByteSize())
+            return decode(reply)
         except grpc.aio.AioRpcError as error:
+            self.count(method, request.ByteSize(), 0)
             raise PeerError(f"{method} to {host}: {error.code().name}") from error
+        except ValueError as error:
+            raise PeerError(f"{method} to {host}: {error}") from error
 
     async def exchange(self, host: str, exchange: Exchange) -> Exchange:
         """Probe a host and exchange views."""
-        reply = await self._call(host, "Exchange", wire.exchange_to_request(exchange))
-        return wire.exchange_from_wire(reply)
+        request = wire.exchange_to_request(exchange)
+        return await self._call(host, "Exchange", request, wire.exchange_from_wire)
 
     async def probe_for(self, host: str, target: str) -> bool:
         """Ask a host to probe a third one."""
@@ -88,20 +120,17 @@
     async def evidence(self, host: str, move: str) -> EvidenceReport:
         """Ask a host what it saw of a move."""
         request = pb.EvidenceRequest(protocol=wire.PROTOCOL, move=move)
-        reply = await self._call(host, "Evidence", request)
-        return EvidenceReport(
-            wire.evidence_from_wire(reply.routes), wire.brakes_from_wire(reply.brakes)
-        )
+        return await self._call(host, "Evidence", request, wire.report_from_wire)
 
     async def events(self, host: str, query: EventsQuery) -> EventsReport:
         """Ask a host for its newest events that a query asks for."""
-        reply = await self._call(host, "Events", wire.query_to_wire(query))
-        return EventsReport(tuple(wire.event_from_wire(item) for item in reply.events))
+        request = wire.query_to_wire(query)
+        return await self._call(host, "Events", request, wire.events_from_wire)
 
     async def status(self, host: str) -> NodeStatus:
         """Ask a host which revision it serves."""
         request = pb.StatusRequest(protocol=wire.PROTOCOL)
-        return wire.status_from_wire(await self._call(host, "Status", request))
+        return await self._call(host, "Status", request, wire.status_from_wire)
 
     async def close(self) -> None:
         """Close all channels."""
@@ -129,44 +158,50 @@
     def __init__(self, handlers: PeerHandlers) -> None:
         self._handlers = handlers
 
-    async def _check(self, request: object, context: grpc.aio.ServicerContext) -> None:
+    async def _check(self, request: Any, context: grpc.aio.ServicerContext) -> None:
         if request.protocol != wire.PROTOCOL:
             await context.abort(
                 grpc.StatusCode.FAILED_PRECONDITION,
                 f"this node speaks protocol {wire.PROTOCOL}, not {request.protocol}",
             )
 
-    async def Exchange(self, request, context):  # noqa: N802
-        """Answer a probe."""
+    async def _decode(
+        self,
+        decode: Callable[[Any], Any],
+        request: Any,
+        context: grpc.aio.ServicerContext,
+    ) -> Any:
         await self._check(request, context)
         try:
-            exchange = wire.exchange_from_wire(request)
+            return decode(request)
         except ValueError as error:
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+
+    async def Exchange(self, request, context):  # noqa: N802
+        """Answer a probe."""
+        exchange = await self._decode(wire.exchange_from_wire, request, context)
         return wire.exchange_to_reply(self._handlers.exchange(exchange))
 
     async def ProbeFor(self, request, context):  # noqa: N802
         """Probe a third host."""
-        await self._check(request, context)
-        return pb.ProbeForReply(reached=await self._handlers.probe_for(request.host))
+        host = await self._decode(wire.probe_from_wire, request, context)
+        return pb.ProbeForReply(reached=await self._handlers.probe_for(host))
 
     async def Notify(self, request, context):  # noqa: N802
         """Take news of a revision."""
-        await self._check(request, context)
-        held = self._handlers.notify(wire.notify_from_wire(request))
-        return pb.NotifyReply(held_revision=held)
+        notify = await self._decode(wire.notify_from_wire, request, context)
+        return pb.NotifyReply(held_revision=self._handlers.notify(notify))
 
     async def Fetch(self, request, context):  # noqa: N802
         """Hand out bodies."""
-        await self._check(request, context)
-        fetched = await self._handlers.fetch(tuple(request.digests))
+        digests = await self._decode(wire.digests_from_wire, request, context)
+        fetched = await self._handlers.fetch(digests)
         return pb.FetchReply(bodies=fetched.bodies, retry_after_s=fetched.retry_after_s)
 
     async def Witness(self, request, context):  # noqa: N802
         """Remember what a host serves."""
-        await self._check(request, context)
-        floor = self._handlers.witness(request.host, request.revision)
-        return pb.WitnessReply(floor=floor)
+        host, revision = await self._decode(wire.witness_from_wire, request, context)
+        return pb.WitnessReply(floor=self._handlers.witness(host, revision))
 
     async def Evidence(self, request, context):  # noqa: N802
         """Tell what this node saw of a move."""
@@ -179,8 +214,8 @@
 
     async def Events(self, request, context):  # noqa: N802
         """Hand out events."""
-        await self._check(request, context)
-        report = self._handlers.events(wire.query_from_wire(request))
+        query = await self._decode(wire.query_from_wire, request, context)
+        report = self._handlers.events(query)
         return pb.EventsReply(
             events=[wire.event_to_wire(item) for item in report.events]
         )
@@ -191,8 +226,12 @@
         return wire.status_to_wire(self._handlers.status())
 
 
-async def start_peer_server(address: str, handlers: PeerHandlers) -> grpc.aio.Server:
-    """Start to serve peers.
+async def start_peer_server(
+    address: str,
+    handlers: PeerHandlers,
+    credentials: grpc.ServerCredentials | None = None,
+) -> grpc.aio.Server:
+    """Start to serve peers; with credentials only those that have theirs.
 
     Raises:
         OSError: The address cannot be bound.
@@ -202,7 +241,10 @@
     )
     peer_pb2_grpc.add_PeerServicer_to_server(PeerServicer(handlers), server)
     try:
-        server.add_insecure_port(address)
+        if credentials is None:
+            server.add_insecure_port(address)
+        else:
+            server.add_secure_port(address, credentials)
     except RuntimeError as error:
         raise OSError(f"cannot listen on {address}") from error
     await server.start()
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -13,11 +13,16 @@
 import attrs
 
 from agaterelay.adapters.clock import SystemClock
-from agaterelay.adapters.log import configure_log, make_recorder
+from agaterelay.adapters.log import (
+    configure_log,
+    make_recorder,
+    record_library_warnings,
+)
 from agaterelay.adapters.metrics import Metrics
 from agaterelay.adapters.peers import PeerClient, PeerHandlers, start_peer_server
 from agaterelay.adapters.platform import PlatformClient
 from agaterelay.adapters.settings import Settings, load_settings
+from agaterelay.adapters.tls import load_credentials
 from agaterelay.core.keys import KeyWindow
 from agaterelay.core.membership import Member
 from agaterelay.core.messages import Notify
@@ -196,11 +201,15 @@
     await platform.open()
     connector = aiohttp.TCPConnector(limit=0, limit_per_host=UPSTREAM_CONNECTIONS)
     session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-    peers = PeerClient(PEER_TIMEOUT_S)
+    tls = load_credentials(settings.tls) if settings.tls else None
+    peers = PeerClient(PEER_TIMEOUT_S, tls.channel if tls else None)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
     set_own(node.gossip, node.board.own)
     stopping = _stop_signal()
-    peer_server = await start_peer_server(settings.peers_address, peer_handlers(node))
+    record_library_warnings(node.world.record)
+    peer_server = await start_peer_server(
+        settings.peers_address, peer_handlers(node), tls.server if tls else None
+    )
     operators = await start_operators_server(node.operators, settings.operators_address)
     calls = await start_calls_server(node.entry, settings.calls_address)
     node.world.record(EventKind.NODE_STARTED, zone=settings.zone)
--- a/bench/bare_node.py
+++ b/bench/bare_node.py
@@ -27,7 +27,7 @@
 from agaterelay.tasks.calls import start_calls_server
 from agaterelay.tasks.entry import Entry
 from agaterelay.tasks.owner import Owner
-from agaterelay.tasks.upstreams import announce, announced
+from agaterelay.tasks.upstreams import Upstreams, announce
 
 
 async def run(settings_path: Path, document_path: Path, upstream: UpstreamInfo) -> None:
@@ -44,7 +44,6 @@
         timeline=timeline,
         record=make_recorder(timeline),
     )
-    now = clock.now()
     member = Member(
         host=settings.peers_address,
         zone=settings.zone,
@@ -60,11 +59,12 @@
         raise SystemExit("\n".join(map(str, findings)))
     board = Board(member, members={member.host: member}, active=snapshot)
     session = aiohttp.ClientSession(auto_decompress=False)
-    owner = Owner(world, board, KeyWindow(1), session)
-    announce(owner, upstream)
+    upstreams = Upstreams(world, publish=lambda _: None)
+    announce(upstreams, upstream)
+    owner = Owner(world, board, KeyWindow(1), session, upstreams.slots)
     entry = Entry(world, board, owner, session)
     await start_calls_server(entry, settings.calls_address)
-    print("ready", now, announced(owner), flush=True)
+    print("ready", flush=True)
     await asyncio.Event().wait()
 
 
