Tell a whole evening and a whole morning as scenarios; refuse an empty document

Cause: after a herd restart GET /v1/document answered with an empty document, so that every edit looked like a lost race (seen: both of two racing operators got 409). Ruled out: a lost swap; the head row had not changed. Change: a node that knows no document yet answers 503 not-ready, and the command line asks again; opening_night.feature and guild_morning.feature check the callers' records against the upstreams'.

--- a/agaterelay/cli/api.py
+++ b/agaterelay/cli/api.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 import aiohttp
 
 REQUEST_TIMEOUT_S = 15.0
+READY_TIMEOUT_S = 10.0
+READY_POLL_S = 0.2
 
 
 class NodeUnreachableError(Exception):
@@ -19,13 +22,23 @@
 ) -> tuple[int, Any]:
     """Send one request to a node.
 
+    A node that has just started may not know the document yet; it is asked again for
+    a while.
+
     Returns:
         The answer's status and its JSON body.
 
     Raises:
         NodeUnreachableError: No node answered.
     """
-    return asyncio.run(_call(node, method, path, body, key))
+    give_up_s = time.monotonic() + READY_TIMEOUT_S
+    while True:
+        status, answer = asyncio.run(_call(node, method, path, body, key))
+        if status != 503 or answer.get("error") != "not-ready":
+            return status, answer
+        if time.monotonic() > give_up_s:
+            raise NodeUnreachableError(f"{node}: {answer['message']}")
+        time.sleep(READY_POLL_S)
 
 
 async def _call(
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -228,7 +228,7 @@
 
 def is_up(host: HostProcesses) -> bool:
     """Return whether a host's node answers operators."""
-    return fetch(f"http://{host.operators}/v1/document") is not None
+    return fetch(f"http://{host.operators}/v1/node") is not None
 
 
 def fetch(
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -52,6 +52,8 @@
     traffic: callers.Traffic | None = None
     revisions: dict[str, list[int]] = attrs.field(factory=lambda: defaultdict(list))
     sampling: threading.Event = attrs.field(factory=threading.Event)
+    finish_within_s: float = 0.0
+    race: list = attrs.field(factory=list)
 
     def host(self, number):
         return self.running.hosts[int(number) - 1]
--- /dev/null
+++ b/tests/scenarios/test_users.py
@@ -0,0 +1,122 @@
+"""A whole evening and a whole morning: faults together, told in the users' words."""
+
+import signal
+from concurrent.futures import ThreadPoolExecutor
+
+from pytest_bdd import parsers, scenarios, then, when
+
+from agaterelay.cli.api import call
+from standins.deployment import fetch, spawn, start_node, stop, wait_until
+from tests.scenarios.conftest import EXAMPLES, OWNERS, apply_section
+
+scenarios("opening_night.feature", "guild_morning.feature")
+
+FINISH_SLACK_S = 10
+
+
+def changed_document(site, name, section, change):
+    """Write the document with one section's text changed; return its path."""
+    sections = (EXAMPLES / f"{name}.yaml").read_text().split("---\n")
+    sections = [
+        change(text) if f"section: {section}\n" in text else text for text in sections
+    ]
+    path = site.running.folder / f"{section}-move.yaml"
+    path.write_text("---\n".join(sections))
+    return path
+
+
+def find_move(site, name):
+    for host in site.running.hosts:
+        answer = fetch(f"http://{host.operators}/v1/moves", timeout_s=1)
+        for move in answer["moves"] if answer else ():
+            if move["name"] == name:
+                return move
+    return None
+
+
+@when(
+    parsers.parse(
+        "the owner of {section} moves {service} in {name} to {version} "
+        "within {seconds:d} seconds"
+    )
+)
+def _start_move(site, section, service, name, version, seconds):
+    move = f"""moves:
+  - name: {service}-{version}
+    service: {service}
+    from: v1
+    to: {version}
+    finish_within_s: {seconds}
+    bake_s: 3
+"""
+    path = changed_document(site, name, section, lambda text: text + move)
+    done = apply_section(site, path, section, wait=False)
+    assert done.returncode == 0, done.stderr
+    site.finish_within_s = seconds
+
+
+@when(parsers.parse("host {number:d} is replaced"))
+def _replace(site, number):
+    host = site.host(number)
+    for process in (host.node, *host.upstreams.values()):
+        stop(process, signal.SIGKILL)
+    start_node(site.running, host)
+    for address, process in list(host.upstreams.items()):
+        arguments = process.args[2:]
+        host.upstreams[address] = spawn(site.running, f"upstream-{address}", arguments)
+
+
+@when("every node is killed and started at once")
+def _herd(site):
+    for host in site.running.hosts:
+        stop(host.node, signal.SIGKILL)
+    for host in site.running.hosts:
+        start_node(site.running, host)
+
+
+@when(parsers.parse("two operators change {section} in {name} at once"))
+def _race(site, section, name):
+    nodes = [host.operators for host in site.running.hosts[:2]]
+    _, document = call(nodes[0], "GET", "/v1/document")
+    old = next(part for part in document["sections"] if part["name"] == section)
+
+    def change(number):
+        text = old["text"].replace("timeout_ms: 1000", f"timeout_ms: {900 + number}")
+        body = {
+            "change_id": f"race-{section}-{number}",
+            "text": text,
+            "base_digest": old["digest"],
+        }
+        return call(nodes[number], "POST", "/v1/changes", body, OWNERS[section])
+
+    with ThreadPoolExecutor() as pool:
+        site.race = list(pool.map(change, range(2)))
+
+
+@then("one of them is told of the lost race")
+def _lost_race(site):
+    (won, record), (lost, refusal) = sorted(site.race, key=lambda answer: answer[0])
+    assert (won, lost) == (200, 409), site.race
+    assert refusal["other"]["change_id"] == record["change_id"]
+
+
+@then(parsers.parse("the move {name} ends {state} in time"))
+def _move_ends(site, name, state):
+    def ended():
+        move = find_move(site, name)
+        return move is not None and move["state"] in ("done", "reverted")
+
+    wait_until(ended, f"the verdict of {name}", site.finish_within_s + FINISH_SLACK_S)
+    move = find_move(site, name)
+    assert move["state"] == state, move
+    assert move["finished_at"] <= move["finish_by"]
+
+
+@then(parsers.parse("the time line tells of the move {name} in causal order"))
+def _timeline(site, name):
+    events = fetch(f"http://{site.running.hosts[0].operators}/v1/timeline")["events"]
+    stamps = [(e["stamp"]["wall_us"], e["stamp"]["counter"]) for e in events]
+    assert stamps == sorted(stamps)
+    told = [event for event in events if event["fields"].get("move") == name]
+    assert told
+    assert told[-1]["fields"].get("state") == "done"
