Probe a few neighbours, join through the registry, keep tombstones bounded

Cause: every node probed all of its zone in turn (a channel to each), sent its whole entry with each probe, learned of others only through settings' seeds, took its incarnation from the wall clock alone, and never dropped dead hosts. A host that was cut off by itself declared its whole zone dead.

Change: core/probing.py gives each host at most five neighbours (one successor on each of five rings), core/fingerprint.py compares views by 32 numbers, entries travel only as news, repeated log2(n) + 2 times at most, and news goes to all neighbours at once. core/registry.py and tasks/registry.py keep one row for each zone, a bounded sample written by two hosts; a joiner reads at most three rows, learns its predecessor's incarnation and only then counts. Tombstones are dropped after 600 s and their pairs remembered, bounded. Silence of another zone is never death; a host without contact, or left with less than half of its zone, declares nobody dead. Channels are bounded.

--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -22,6 +24,7 @@
 
 MAX_MESSAGE_BYTES = 4 << 20
 MAX_CONCURRENT_RPCS = 64
+MAX_CHANNELS = 16
 _OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -32,26 +35,65 @@
     ("grpc.enable_http_proxy", 0),
 )
 
+# Status codes that a running peer itself answers with.
+_REACHED = frozenset(
+    {
+        grpc.StatusCode.RESOURCE_EXHAUSTED,
+        grpc.StatusCode.FAILED_PRECONDITION,
+        grpc.StatusCode.INVALID_ARGUMENT,
+        grpc.StatusCode.UNKNOWN,
+    }
+)
+
+
+@attrs.define
+class _Link:
+    channel: grpc.aio.Channel
+    stub: peer_pb2_grpc.PeerStub
+    calls: int = 0
+
 
 class PeerClient:
-    """Calls other nodes; keeps one channel to each that was called."""
+    """Calls other nodes over a bounded number of channels.
 
-    def __init__(self, timeout_s: float) -> None:
-        self._timeout_s = timeout_s
-        self._stubs: dict[str, tuple[grpc.aio.Channel, peer_pb2_grpc.PeerStub]] = {}
+    The channel that was idle for longest is closed to make room for another one.
+    """
 
-    def _stub(self, host: str) -> peer_pb2_grpc.PeerStub:
-        if host not in self._stubs:
+    def __init__(self, timeout_s: float, most_channels: int = MAX_CHANNELS) -> None:
+        self._timeout_s = timeout_s
+        self._most_channels = most_channels
+        self._links: OrderedDict[str, _Link] = OrderedDict()
+        self._closing: set[asyncio.Task[None]] = set()
+
+    def _link(self, host: str) -> _Link:
+        link = self._links.get(host)
+        if link is None:
+            self._make_room()
             channel = grpc.aio.insecure_channel(host, options=_OPTIONS)
-            self._stubs[host] = (channel, peer_pb2_grpc.PeerStub(channel))
-        return self._stubs[host][1]
+            link = _Link(channel, peer_pb2_grpc.PeerStub(channel))
+            self._links[host] = link
+        self._links.move_to_end(host)
+        return link
+
+    def _make_room(self) -> None:
+        idle = [host for host, link in self._links.items() if not link.calls]
+        surplus = len(self._links) + 1 - self._most_channels
+        for host in idle[: max(surplus, 0)]:
+            task = asyncio.create_task(self._links.pop(host).channel.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
 
     async def _call(self, host: str, method: str, request: object) -> object:
+        link = self._link(host)
+        link.calls += 1
         try:
-            stub = self._stub(host)
-            return await getattr(stub, method)(request, timeout=self._timeout_s)
+            return await getattr(link.stub, method)(request, timeout=self._timeout_s)
         except grpc.aio.AioRpcError as error:
-            raise PeerError(f"{method} to {host}: {error.code().name}") from error
+            code = error.code()
+            message = f"{method} to {host}: {code.name}"
+            raise PeerError(message, reached=code in _REACHED) from error
+        finally:
+            link.calls -= 1
 
     async def exchange(self, host: str, exchange: Exchange) -> Exchange:
         """Probe a host and exchange views."""
@@ -108,8 +150,9 @@
 
     async def close(self) -> None:
         """Close all channels."""
-        for channel, _ in self._stubs.values():
-            await channel.close()
+        for link in self._links.values():
+            await link.channel.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
 
 
 @attrs.frozen
--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 
 import attrs
 
@@ -47,6 +48,7 @@
         region=member.region,
         calls_address=member.calls_address,
         operators_address=member.operators_address,
+        age_s=member.age_s,
         upstreams=[
             pb.Upstream(
                 service=item.service,
@@ -76,6 +78,7 @@
         region=message.region,
         calls_address=message.calls_address,
         operators_address=message.operators_address,
+        age_s=message.age_s,
         upstreams=tuple(
             UpstreamInfo(
                 service=item.service,
@@ -111,25 +114,28 @@
     """Return the request of an exchange."""
     return pb.ExchangeRequest(
         protocol=PROTOCOL,
-        stamp=stamp_to_wire(exchange.stamp),
-        sender=member_to_wire(exchange.sender),
-        revision=head_to_wire(exchange.revision),
-        updates=[member_to_wire(item) for item in exchange.updates],
-        brakes=brakes_to_wire(exchange.brakes),
         want_all=exchange.want_all,
+        fingerprint=exchange.fingerprint,
+        **_exchange_fields(exchange),
     )
 
 
 def exchange_to_reply(exchange: Exchange) -> pb.ExchangeReply:
     """Return the reply of an exchange."""
-    return pb.ExchangeReply(
-        stamp=stamp_to_wire(exchange.stamp),
-        sender=member_to_wire(exchange.sender),
-        revision=head_to_wire(exchange.revision),
-        updates=[member_to_wire(item) for item in exchange.updates],
-        brakes=brakes_to_wire(exchange.brakes),
-        floor=exchange.floor,
-    )
+    return pb.ExchangeReply(floor=exchange.floor, **_exchange_fields(exchange))
+
+
+def _exchange_fields(exchange: Exchange) -> dict[str, Any]:
+    return {
+        "stamp": stamp_to_wire(exchange.stamp),
+        "sender": exchange.sender,
+        "incarnation": exchange.pair[0],
+        "sequence": exchange.pair[1],
+        "revision": head_to_wire(exchange.revision),
+        "updates": [member_to_wire(item) for item in exchange.updates],
+        "brakes": brakes_to_wire(exchange.brakes),
+        "want_entry": exchange.want_entry,
+    }
 
 
 def exchange_from_wire(message: pb.ExchangeRequest | pb.ExchangeReply) -> Exchange:
@@ -141,11 +147,14 @@
     is_request = isinstance(message, pb.ExchangeRequest)
     return Exchange(
         stamp=stamp_from_wire(message.stamp),
-        sender=member_from_wire(message.sender),
+        sender=message.sender,
+        pair=(message.incarnation, message.sequence),
         revision=head_from_wire(message.revision),
         updates=tuple(member_from_wire(item) for item in message.updates),
         brakes=brakes_from_wire(message.brakes),
+        want_entry=message.want_entry,
         want_all=is_request and message.want_all,
+        fingerprint=tuple(message.fingerprint) if is_request else (),
         floor=0 if is_request else message.floor,
     )
 
--- a/agaterelay/core/messages.py
+++ b/agaterelay/core/messages.py
@@ -21,14 +21,22 @@
 
 @attrs.frozen
 class Exchange:
-    """A probe, or its answer, with what the sender believes."""
+    """A probe, or its answer, with what the sender has news of.
+
+    ``pair`` is the incarnation and sequence of the sender's own entry, which itself
+    travels only as an update. ``want_entry`` asks for the other's entry, ``want_all``
+    for the other's whole view, and ``fingerprint`` for what the views differ in.
+    """
 
     stamp: Stamp
-    sender: Member
+    sender: str
+    pair: tuple[int, int]
     revision: Head
     updates: tuple[Member, ...] = ()
     brakes: tuple[Brake, ...] = ()
+    want_entry: bool = False
     want_all: bool = False
+    fingerprint: tuple[int, ...] = ()
     floor: int = 0
 
 
--- a/agaterelay/core/routing.py
+++ b/agaterelay/core/routing.py
@@ -15,7 +15,7 @@
 
 @attrs.frozen
 class Target:
-    """An upstream and the host whose node owns it; ``doubted`` where it is suspected."""
+    """An upstream and the host whose node owns it."""
 
     host: str
     zone: str
@@ -59,8 +59,17 @@
     return draw.choices(versions, weights=[shares[name] for name in versions])[0]
 
 
-def targets_of(members: Members, service: str, version: str) -> list[Target]:
-    """Return the upstreams of a version that take new work, as far as is known."""
+def targets_of(
+    members: Members,
+    service: str,
+    version: str,
+    out_of_reach: frozenset[str] = frozenset(),
+) -> list[Target]:
+    """Return the upstreams of a version that take new work, as far as is known.
+
+    Those of suspected hosts, and of zones out of reach, stay in as doubted ones: the
+    calls' own outcomes say which are dead.
+    """
     return [
         Target(
             host=member.host,
@@ -68,7 +77,8 @@
             calls_address=member.calls_address,
             upstream=upstream,
             region=member.region,
-            doubted=member.state is not MemberState.ALIVE,
+            doubted=member.state is not MemberState.ALIVE
+            or member.zone in out_of_reach,
         )
         for member in members.values()
         if member.usable
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -30,11 +30,7 @@
 from agaterelay.tasks.entry import Entry
 from agaterelay.tasks.gossip import (
     Gossip,
-    leave,
-    run_gossip,
     serve_exchange,
-    serve_probe_for,
-    set_own,
     set_upstreams,
 )
 from agaterelay.tasks.keeper import (
@@ -58,7 +54,15 @@
     start_operators_server,
 )
 from agaterelay.tasks.owner import Owner
+from agaterelay.tasks.probe import (
+    Prober,
+    leave,
+    run_news,
+    run_probes,
+    serve_probe_for,
+)
 from agaterelay.tasks.reader import run_reader
+from agaterelay.tasks.registry import Registry, run_registry
 from agaterelay.tasks.upstreams import Upstreams, run_upstreams
 
 PEER_TIMEOUT_S = 1.0
@@ -86,6 +90,7 @@
     board: Board
     keeper: Keeper
     gossip: Gossip
+    prober: Prober
     upstreams: Upstreams
     owner: Owner
     entry: Entry
@@ -106,13 +111,12 @@
         timeline=timeline,
         record=make_recorder(timeline),
     )
-    incarnation = int(clock.now().timestamp() * 1000)
     board = Board(
         Member(
             host=settings.peers_address,
             zone=settings.zone,
-            incarnation=incarnation,
-            sequence=1,
+            incarnation=0,
+            sequence=0,
             region=settings.region,
             calls_address=settings.calls_address,
             operators_address=settings.operators_address,
@@ -120,14 +124,16 @@
     )
     keeper = Keeper(world, board)
     committer = Committer(world, board, keeper)
+    window = KeyWindow(0)
     gossip = Gossip(
         world,
         board,
         keeper,
         on_brakes=lambda brakes: take_brakes(board, world.record, brakes),
+        on_incarnation=lambda number: setattr(window, "incarnation", number),
     )
     upstreams = Upstreams(world, lambda infos: set_upstreams(gossip, infos))
-    owner = Owner(world, board, KeyWindow(incarnation), ports.session, upstreams.slots)
+    owner = Owner(world, board, window, ports.session, upstreams.slots)
     mover = Mover(world, board, owner, committer)
     metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
     return Node(
@@ -135,6 +141,7 @@
         board=board,
         keeper=keeper,
         gossip=gossip,
+        prober=Prober(gossip),
         upstreams=upstreams,
         owner=owner,
         entry=Entry(world, board, owner, ports.session),
@@ -198,7 +205,6 @@
     session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
     peers = PeerClient(PEER_TIMEOUT_S)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
-    set_own(node.gossip, node.board.own)
     stopping = _stop_signal()
     peer_server = await start_peer_server(settings.peers_address, peer_handlers(node))
     operators = await start_operators_server(node.operators, settings.operators_address)
@@ -231,7 +237,9 @@
     starts: dict[str, Any] = {
         "keeper": lambda: run_keeper(node.keeper),
         "reader": lambda: run_reader(node.world, node.board, node.keeper),
-        "gossip": lambda: run_gossip(node.gossip),
+        "registry": lambda: run_registry(Registry(node.gossip)),
+        "probes": lambda: run_probes(node.prober),
+        "news": lambda: run_news(node.prober),
         "upstreams": lambda: run_upstreams(node.upstreams),
         "brakes": lambda: run_brakes(node.mover),
         "mover": lambda: run_mover(node.mover),
@@ -246,7 +254,7 @@
     """Leave the fleet, refuse new work, and finish what is in flight."""
     node.world.record(EventKind.NODE_STOPPING)
     node.board.stopping = True
-    await leave(node.gossip)
+    await leave(node.prober)
     deadline_s = node.world.clock.monotonic_s() + node.world.settings.drain_s
     while node.owner.in_flight and node.world.clock.monotonic_s() < deadline_s:
         await node.world.clock.sleep(IN_FLIGHT_POLL_S)
--- a/agaterelay/ports.py
+++ b/agaterelay/ports.py
@@ -83,7 +83,15 @@
 
 
 class PeerError(Exception):
-    """A peer did not answer, or refused; its message says which."""
+    """A peer did not answer, or refused; its message says which.
+
+    Attributes:
+        reached: Whether the peer itself refused, which shows that it is alive.
+    """
+
+    def __init__(self, message: str, reached: bool = False) -> None:
+        super().__init__(message)
+        self.reached = reached
 
 
 class Peers(Protocol):
--- a/agaterelay/tasks/board.py
+++ b/agaterelay/tasks/board.py
@@ -38,6 +38,7 @@
 
     own: Member  # written by gossip
     members: Members = attrs.field(factory=dict)  # written by gossip
+    out_of_reach: frozenset[str] = frozenset()  # written by gossip
     active: Snapshot | None = None  # written by the keeper
     activated_ms: int = 0  # written by the keeper
     held: Head = Head(0, "")  # written by the keeper
--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -153,7 +153,9 @@
     for name in [version, *(item for item in shares if item != version)]:
         targets = [
             target
-            for target in targets_of(entry.board.members, route.service, name)
+            for target in targets_of(
+                entry.board.members, route.service, name, entry.board.out_of_reach
+            )
             if target.upstream.address not in tried
         ]
         now_s = entry.world.clock.monotonic_s()
--- a/agaterelay/tasks/gossip.py
+++ b/agaterelay/tasks/gossip.py
@@ -1,92 +1,157 @@
 """Gossip owns the node's view of the fleet.
 
-Once a period it probes one host of its zone, round robin in random order, and
-sometimes one of another zone. Updates travel with the probes. A host that answers
-neither directly nor through others is suspected, and declared dead after a while
-unless it refutes that.
+Everything that changes the view goes through here: what peers say with a probe or its
+answer, this host's own entry, and doubts about hosts that do not answer. News travels
+with the probes for a while; who probes whom is in ``tasks/probe.py``.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import attrs
 
+from agaterelay.core.fingerprint import BUCKETS, differing, fingerprint
 from agaterelay.core.membership import (
+    Buried,
     Member,
     MemberState,
     UpstreamInfo,
-    doubt,
+    bury,
+    claim_about,
     merge,
     refute,
-    zone_hosts,
 )
-from agaterelay.core.messages import Exchange
-from agaterelay.core.timeline import Stamp, tick
+from agaterelay.core.messages import Brake, Exchange
+from agaterelay.core.probing import repeats_of
+from agaterelay.core.timeline import tick
 from agaterelay.events import EventKind
-from agaterelay.ports import PeerError
 from agaterelay.tasks.board import Board, Seen, World
 from agaterelay.tasks.keeper import Keeper, post
 
-SUSPICION_PERIODS = 4
-INDIRECT_PROBES = 2
 UPDATES_PER_EXCHANGE = 16
-UPDATE_REPEATS = 6
-FAR_PROBE_PERIODS = 3
+DIFFERING_PER_REPLY = 128
 
 
 @attrs.define
 class Gossip:
-    """The view's state: what to pass on, and whom to doubt."""
+    """The view's state: what to pass on, whom to doubt, and whom to forget.
+
+    ``predecessor`` is the highest incarnation that was heard of an earlier process on
+    this host. ``wanting`` are hosts whose entry is to be asked for, ``owed`` those
+    that asked for this host's entry. Times are monotonic, in seconds.
+    """
 
     world: World
     board: Board
     keeper: Keeper
-    on_brakes: object
+    on_brakes: Callable[[tuple[Brake, ...]], None]
+    on_incarnation: Callable[[int], None]
+    draw: random.Random = attrs.field(factory=random.Random)
+    predecessor: int = 0
     repeats: dict[str, int] = attrs.field(factory=dict)
     suspected_s: dict[str, float] = attrs.field(factory=dict)
-    round: list[str] = attrs.field(factory=list)
-    periods: int = 0
+    dead_since_s: dict[str, float] = attrs.field(factory=dict)
+    buried: Buried = attrs.field(factory=dict)
+    wanting: set[str] = attrs.field(factory=set)
+    owed: set[str] = attrs.field(factory=set)
+    heard_s: float = float("-inf")
+    news: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+def own_exchange(
+    gossip: Gossip, to: str, want_all: bool = False, compare: bool = False
+) -> Exchange:
+    """Return what this host says to another one in a probe or an answer.
+
+    Args:
+        gossip: The view's state.
+        to: The host that it is for.
+        want_all: Whether to ask for the whole view.
+        compare: Whether to ask for what the views differ in.
+    """
+    board = gossip.board
+    own = board.own
+    updates = {host: board.members[host] for host in _take_news(gossip)}
+    claim = claim_about(board.members, gossip.buried, to)
+    if claim is not None:
+        updates[to] = claim
+    if to in gossip.owed and own.incarnation:
+        updates[own.host] = own
+        gossip.owed.discard(to)
+    return Exchange(
+        stamp=tick(gossip.world.timeline),
+        sender=own.host,
+        pair=own.pair,
+        revision=board.held,
+        updates=with_ages(gossip, updates.values()),
+        brakes=tuple(board.brakes.values()),
+        want_entry=to in gossip.wanting,
+        want_all=want_all,
+        fingerprint=fingerprint(board.members) if compare else (),
+    )
 
 
-def own_exchange(gossip: Gossip, want_all: bool = False, floor: int = 0) -> Exchange:
-    """Return what this host says in a probe or an answer."""
-    board = gossip.board
+def _take_news(gossip: Gossip) -> list[str]:
+    """Return the hosts whose entries are news still, the least repeated first."""
     chosen = sorted(gossip.repeats, key=gossip.repeats.get, reverse=True)
     chosen = chosen[:UPDATES_PER_EXCHANGE]
     for host in chosen:
         gossip.repeats[host] -= 1
         if gossip.repeats[host] <= 0:
             del gossip.repeats[host]
-    updates = tuple(board.members[host] for host in chosen if host in board.members)
-    return Exchange(
-        stamp=tick(gossip.world.timeline),
-        sender=board.own,
-        revision=board.held,
-        updates=updates,
-        brakes=tuple(board.brakes.values()),
-        want_all=want_all,
-        floor=floor,
+    return [host for host in chosen if host in gossip.board.members]
+
+
+def with_ages(gossip: Gossip, members: object) -> tuple[Member, ...]:
+    """Return entries with the ages of their tombstones filled in."""
+    now_s = gossip.world.clock.monotonic_s()
+    since_s = gossip.dead_since_s
+    return tuple(
+        attrs.evolve(member, age_s=int(now_s - since_s[member.host]))
+        if member.host in since_s and not member.usable
+        else member
+        for member in members
     )
 
 
 def serve_exchange(gossip: Gossip, exchange: Exchange) -> Exchange:
     """Answer a peer's probe."""
+    board = gossip.board
     take_exchange(gossip, exchange)
-    floor = gossip.keeper.floors.get(exchange.sender.host, 0)
-    reply = own_exchange(gossip, floor=floor)
+    floor = gossip.keeper.floors.get(exchange.sender, 0)
+    reply = attrs.evolve(own_exchange(gossip, exchange.sender), floor=floor)
+    extra: list[Member] = []
     if exchange.want_all:
-        return attrs.evolve(reply, updates=tuple(gossip.board.members.values()))
-    return reply
+        extra = list(board.members.values())
+    elif exchange.fingerprint:
+        first = gossip.draw.randrange(BUCKETS)
+        extra = differing(
+            board.members, exchange.fingerprint, first, DIFFERING_PER_REPLY
+        )
+    if not extra:
+        return reply
+    updates = {item.host: item for item in (*with_ages(gossip, extra), *reply.updates)}
+    return attrs.evolve(reply, updates=tuple(updates.values()))
 
 
 def take_exchange(gossip: Gossip, exchange: Exchange) -> None:
     """Take in what a peer said."""
+    board = gossip.board
     tick(gossip.world.timeline, exchange.stamp)
-    take_updates(gossip, (exchange.sender, *exchange.updates))
+    gossip.heard_s = gossip.world.clock.monotonic_s()
+    take_updates(gossip, exchange.updates)
+    known = board.members.get(exchange.sender)
+    if exchange.pair[0] and (known is None or known.pair < exchange.pair):
+        gossip.wanting.add(exchange.sender)
+    else:
+        gossip.wanting.discard(exchange.sender)
+    if exchange.want_entry:
+        gossip.owed.add(exchange.sender)
     gossip.on_brakes(exchange.brakes)
-    post(gossip.keeper, Seen(exchange.revision, source=exchange.sender.host))
+    post(gossip.keeper, Seen(exchange.revision, source=exchange.sender))
 
 
 def take_updates(gossip: Gossip, updates: tuple[Member, ...]) -> None:
@@ -94,170 +159,80 @@
     board = gossip.board
     others = []
     for update in updates:
-        if update.host != board.own.host:
+        if update.host == board.own.host:
+            _hear_of_self(gossip, update)
+        else:
             others.append(update)
-            continue
-        answer = refute(board.own, update)
-        if answer is not None and not board.stopping:
-            set_own(gossip, answer)
-    members, changed = merge(board.members, others)
+    members, changed = merge(board.members, others, gossip.buried)
     board.members = members
     for member in changed:
-        gossip.repeats[member.host] = UPDATE_REPEATS
         _note_change(gossip, member)
 
 
+def _hear_of_self(gossip: Gossip, claim: Member) -> None:
+    """Take in what others say of this host, or of an earlier process on it."""
+    board = gossip.board
+    if not board.own.incarnation:
+        gossip.predecessor = max(gossip.predecessor, claim.incarnation)
+        return
+    answer = refute(board.own, claim)
+    if answer is None or board.own.state is MemberState.LEFT:
+        return
+    gossip.world.record(EventKind.MEMBER_REFUTED, claim=claim.state.name.lower())
+    set_own(gossip, answer)
+
+
 def _note_change(gossip: Gossip, member: Member) -> None:
+    now_s = gossip.world.clock.monotonic_s()
+    host = member.host
     if member.state is MemberState.SUSPECT:
-        now_s = gossip.world.clock.monotonic_s()
-        gossip.suspected_s.setdefault(member.host, now_s)
+        gossip.suspected_s.setdefault(host, now_s)
     else:
-        gossip.suspected_s.pop(member.host, None)
+        gossip.suspected_s.pop(host, None)
+    if member.usable:
+        gossip.dead_since_s.pop(host, None)
+    else:
+        gossip.dead_since_s.setdefault(host, now_s - member.age_s)
+    _pass_on(gossip, host)
     gossip.world.record(
         EventKind.MEMBER_CHANGED,
-        member=member.host,
+        member=host,
         state=member.state.name.lower(),
         incarnation=member.incarnation,
         sequence=member.sequence,
     )
 
 
+def _pass_on(gossip: Gossip, host: str) -> None:
+    gossip.repeats[host] = repeats_of(len(gossip.board.members))
+    gossip.news.set()
+
+
 def set_own(gossip: Gossip, own: Member) -> None:
-    """Publish this host's own entry and pass it on."""
+    """Publish this host's own entry and pass it on, once the host has joined."""
     board = gossip.board
+    if own.incarnation != board.own.incarnation:
+        gossip.on_incarnation(own.incarnation)
     board.own = own
-    board.members = {**board.members, own.host: own}
-    gossip.repeats[own.host] = UPDATE_REPEATS
+    if own.incarnation:
+        board.members = {**board.members, own.host: own}
+        _pass_on(gossip, own.host)
 
 
 def set_upstreams(gossip: Gossip, upstreams: tuple[UpstreamInfo, ...]) -> None:
     """Publish this host's upstreams where they changed."""
     own = gossip.board.own
-    if own.upstreams != upstreams:
+    if own.upstreams != upstreams and own.state is not MemberState.LEFT:
         changed = attrs.evolve(own, upstreams=upstreams, sequence=own.sequence + 1)
         set_own(gossip, changed)
 
 
-async def run_gossip(gossip: Gossip) -> None:
-    """Join, then probe once a period until cancelled."""
-    await join(gossip)
-    while True:
-        period_s = gossip.world.settings.probe_period_s
-        await gossip.world.clock.sleep(period_s * random.uniform(0.9, 1.1))
-        gossip.periods += 1
-        target = next_target(gossip)
-        if target is not None:
-            await probe(gossip, target)
-        elif len(gossip.board.members) <= 1:
-            await join(gossip)
-        if gossip.periods % FAR_PROBE_PERIODS == 0:
-            await probe_far(gossip)
-        expire_suspects(gossip)
-
-
-async def join(gossip: Gossip) -> None:
-    """Ask the seeds for their whole view."""
-    for seed in gossip.world.settings.seeds:
-        if seed == gossip.board.own.host:
-            continue
-        try:
-            exchange = own_exchange(gossip, want_all=True)
-            take_exchange(gossip, await gossip.world.peers.exchange(seed, exchange))
-        except PeerError:
-            continue
-
-
-def next_target(gossip: Gossip) -> str | None:
-    """Return the next host of the zone to probe."""
-    board = gossip.board
-    if not gossip.round:
-        hosts = zone_hosts(board.members, gossip.world.settings.zone)
-        gossip.round = [host for host in hosts if host != board.own.host]
-        random.shuffle(gossip.round)
-    while gossip.round:
-        host = gossip.round.pop()
-        member = board.members.get(host)
-        if member is not None and member.usable:
-            return host
-    return None
-
-
-async def probe(gossip: Gossip, host: str) -> None:
-    """Probe a host, directly and then through others; suspect it on silence."""
-    if await probe_once(gossip, host):
-        return
-    hosts = zone_hosts(gossip.board.members, gossip.world.settings.zone)
-    helpers = [item for item in hosts if item not in (host, gossip.board.own.host)]
-    helpers = random.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
-    answers = await asyncio.gather(
-        *(gossip.world.peers.probe_for(helper, host) for helper in helpers),
-        return_exceptions=True,
-    )
-    member = gossip.board.members.get(host)
-    if member is not None and not any(answer is True for answer in answers):
-        take_updates(gossip, (doubt(member, MemberState.SUSPECT),))
-
-
-async def probe_once(gossip: Gossip, host: str) -> bool:
-    """Exchange views with a host; return whether it answered."""
-    try:
-        reply = await gossip.world.peers.exchange(host, own_exchange(gossip))
-    except PeerError:
-        return False
-    take_exchange(gossip, reply)
-    return True
-
-
-async def probe_far(gossip: Gossip) -> None:
-    """Exchange views with a host of another zone, or with a seed that was lost."""
-    board = gossip.board
-    far = [
-        member.host
-        for member in board.members.values()
-        if member.usable and member.zone != gossip.world.settings.zone
-    ]
-    lost = [
-        seed
-        for seed in gossip.world.settings.seeds
-        if seed != board.own.host
-        and (seed not in board.members or not board.members[seed].usable)
-    ]
-    for hosts in (far, lost):
-        if hosts:
-            await probe_once(gossip, random.choice(hosts))
-
-
-def expire_suspects(gossip: Gossip) -> None:
-    """Declare hosts dead that were suspected for long enough."""
+def drop_tombstones(gossip: Gossip) -> None:
+    """Forget hosts that were dead for long enough."""
     now_s = gossip.world.clock.monotonic_s()
-    timeout_s = SUSPICION_PERIODS * gossip.world.settings.probe_period_s
-    for host, since_s in list(gossip.suspected_s.items()):
-        member = gossip.board.members.get(host)
-        if member is not None and now_s - since_s >= timeout_s:
-            take_updates(gossip, (doubt(member, MemberState.DEAD),))
-
-
-async def serve_probe_for(gossip: Gossip, host: str) -> bool:
-    """Probe a host for a peer."""
-    return await probe_once(gossip, host)
-
-
-async def leave(gossip: Gossip) -> None:
-    """Tell a few hosts that this one leaves."""
-    own = gossip.board.own
-    set_own(
-        gossip,
-        attrs.evolve(
-            own, sequence=own.sequence + 1, state=MemberState.LEFT, upstreams=()
-        ),
+    board = gossip.board
+    board.members, gossip.buried = bury(
+        board.members, gossip.buried, gossip.dead_since_s, now_s
     )
-    others = [
-        member.host
-        for member in gossip.board.members.values()
-        if member.usable and member.host != own.host
-    ]
-    chosen = random.sample(others, min(3, len(others)))
-    await asyncio.gather(*(probe_once(gossip, host) for host in chosen))
-
-
-__all__ = ["Gossip", "Stamp", "run_gossip"]
+    for host in [item for item in gossip.dead_since_s if item not in board.members]:
+        del gossip.dead_since_s[host]
