Stop in an order that resets no connection

Cause: a stopping node refused calls before anybody knew of it, and closed its listener as soon as nothing was in flight, so a caller's next request on an idle connection met a reset; an upstream was told that it had left while calls that were admitted before were still on their way to it.

Change: the node leaves first, serves on for half a second, then refuses with Connection: close until idle connections are used up or dropped by their callers (kept 2 s without use), and closes the listener last. DELETE of an upstream answers when its calls have ended. /v1/members shows a node's view.

--- a/agaterelay/client.py
+++ b/agaterelay/client.py
@@ -16,6 +16,8 @@
 
 MAX_TRIES = 3
 RETRY_DELAY_S = 0.05
+# A node that stops listens for longer than callers keep connections without use.
+KEEP_ALIVE_S = 2.0
 OUTCOME_HEADER = "Agaterelay-Outcome"
 REASON_HEADER = "Agaterelay-Reason"
 
@@ -29,7 +31,8 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Caller:
-        self._session = aiohttp.ClientSession()
+        connector = aiohttp.TCPConnector(keepalive_timeout=KEEP_ALIVE_S)
+        self._session = aiohttp.ClientSession(connector=connector)
         return self
 
     async def __aexit__(self, *_: object) -> None:
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -18,6 +18,7 @@
 from agaterelay.adapters.peers import PeerClient, PeerHandlers, start_peer_server
 from agaterelay.adapters.platform import PlatformClient
 from agaterelay.adapters.settings import Settings, load_settings
+from agaterelay.client import KEEP_ALIVE_S
 from agaterelay.core.keys import KeyWindow
 from agaterelay.core.membership import Member
 from agaterelay.core.messages import Notify
@@ -69,6 +70,8 @@
 RESTART_DELAY_S = 0.5
 UPSTREAM_CONNECTIONS = 130
 IN_FLIGHT_POLL_S = 0.02
+LEAVE_GRACE_S = 0.5
+LINGER_S = KEEP_ALIVE_S + 0.5
 EXIT_SETTINGS_INVALID = 2
 
 
@@ -201,7 +204,9 @@
         settings.table_url, settings.objects_url, settings.platform_timeout_s
     )
     await platform.open()
-    connector = aiohttp.TCPConnector(limit=0, limit_per_host=UPSTREAM_CONNECTIONS)
+    connector = aiohttp.TCPConnector(
+        limit=0, limit_per_host=UPSTREAM_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S
+    )
     session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
     peers = PeerClient(PEER_TIMEOUT_S)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
@@ -251,13 +256,23 @@
 
 
 async def stop_gracefully(node: Node) -> None:
-    """Leave the fleet, refuse new work, and finish what is in flight."""
+    """Leave the fleet, refuse new work, and finish what is in flight.
+
+    Calls that peers send before they hear of it are still served for a while. After
+    that the listener stays for as long as callers keep idle connections, so that they
+    are told that a call did not run, and never find a connection reset.
+    """
+    clock = node.world.clock
     node.world.record(EventKind.NODE_STOPPING)
-    node.board.stopping = True
     await leave(node.prober)
-    deadline_s = node.world.clock.monotonic_s() + node.world.settings.drain_s
-    while node.owner.in_flight and node.world.clock.monotonic_s() < deadline_s:
-        await node.world.clock.sleep(IN_FLIGHT_POLL_S)
+    await clock.sleep(LEAVE_GRACE_S)
+    node.board.stopping = True
+    linger_until_s = clock.monotonic_s() + LINGER_S
+    deadline_s = clock.monotonic_s() + node.world.settings.drain_s
+    while clock.monotonic_s() < linger_until_s or (
+        node.owner.in_flight and clock.monotonic_s() < deadline_s
+    ):
+        await clock.sleep(IN_FLIGHT_POLL_S)
 
 
 def run(settings_path: Path) -> int:
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from agaterelay.core.keys import parse_key
+from agaterelay.core.membership import MemberState
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.events import EventKind
 from agaterelay.tasks.entry import (
@@ -94,6 +95,8 @@
         entry.owner.in_flight -= 1
     _note(entry, request, outcome)
     response = respond(outcome)
+    if entry.board.own.state is MemberState.LEFT:
+        response.force_close()
     if HOP_HEADER in request.headers:
         response.headers[LOAD_HEADER] = str(_in_flight(entry, request))
     return response
--- a/agaterelay/tasks/operators/fleet.py
+++ b/agaterelay/tasks/operators/fleet.py
@@ -40,6 +40,16 @@
     return web.json_response(attrs.asdict(own_status(operators.board)))
 
 
+async def show_members(operators: Operators, _: web.Request) -> web.Response:
+    """Answer with this node's view of the fleet."""
+    members = [
+        {**attrs.asdict(member), "state": member.state.name.lower()}
+        for member in operators.board.members.values()
+    ]
+    out_of_reach = sorted(operators.board.out_of_reach)
+    return web.json_response({"members": members, "out_of_reach": out_of_reach})
+
+
 async def show_status(operators: Operators, _: web.Request) -> web.Response:
     """Return what every reachable node says of itself."""
     board = operators.board
--- a/agaterelay/tasks/operators/server.py
+++ b/agaterelay/tasks/operators/server.py
@@ -22,6 +22,7 @@
     ("GET", "/v1/moves", moves.show_moves),
     ("POST", "/v1/moves/{name}/take-back", moves.take_back),
     ("GET", "/v1/node", fleet.show_node),
+    ("GET", "/v1/members", fleet.show_members),
     ("GET", "/v1/status", fleet.show_status),
     ("GET", "/v1/timeline", fleet.show_timeline),
     ("GET", "/metrics", fleet.show_metrics),
--- a/agaterelay/tasks/operators/upstreams.py
+++ b/agaterelay/tasks/operators/upstreams.py
@@ -13,7 +13,7 @@
     field,
     json_object,
 )
-from agaterelay.tasks.upstreams import announce, withdraw
+from agaterelay.tasks.upstreams import announce, finish_calls, withdraw
 
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 
@@ -41,5 +41,6 @@
 
 async def withdraw_upstream(operators: Operators, request: web.Request) -> web.Response:
     """Forget an upstream that leaves."""
-    withdraw(operators.upstreams, request.match_info["address"])
-    return web.json_response({})
+    left = withdraw(operators.upstreams, request.match_info["address"])
+    finished = await finish_calls(operators.upstreams, left)
+    return web.json_response({"finished": finished})
--- a/agaterelay/tasks/upstreams.py
+++ b/agaterelay/tasks/upstreams.py
@@ -17,6 +17,8 @@
 
 HEARTBEAT_TIMEOUT_S = 4.0
 CHECK_PERIOD_S = 0.5
+FINISH_TIMEOUT_S = 30.0
+FINISH_POLL_S = 0.02
 
 
 @attrs.define
@@ -48,11 +50,34 @@
     upstreams.publish(announced(upstreams))
 
 
-def withdraw(upstreams: Upstreams, address: str) -> None:
-    """Forget an upstream that leaves; its calls in flight go on."""
-    if upstreams.slots.pop(address, None) is not None:
+def withdraw(upstreams: Upstreams, address: str) -> UpstreamSlots | None:
+    """Forget an upstream that leaves; its calls in flight go on.
+
+    Returns:
+        The upstream with its calls in flight, None where it was not known.
+    """
+    item = upstreams.slots.pop(address, None)
+    if item is not None:
         upstreams.world.record(EventKind.UPSTREAM_WITHDRAWN, upstream=address)
         upstreams.publish(announced(upstreams))
+    return item
+
+
+async def finish_calls(upstreams: Upstreams, item: UpstreamSlots | None) -> bool:
+    """Wait until no call is in flight on an upstream that was withdrawn.
+
+    An upstream may stop as soon as this returns True: nothing is on its way to it.
+
+    Returns:
+        Whether all calls ended in time.
+    """
+    clock = upstreams.world.clock
+    give_up_s = clock.monotonic_s() + FINISH_TIMEOUT_S
+    while item is not None and item.in_flight:
+        if clock.monotonic_s() >= give_up_s:
+            return False
+        await clock.sleep(FINISH_POLL_S)
+    return True
 
 
 def expire_upstreams(upstreams: Upstreams) -> None:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -19,6 +19,7 @@
 from aiohttp import web
 
 HEARTBEAT_S = 1.0
+WITHDRAW_TIMEOUT_S = 10.0
 
 
 @attrs.define
@@ -143,9 +144,9 @@
 
 
 async def withdraw(upstream: Upstream, node: str) -> None:
-    """Tell the node that the upstream leaves."""
+    """Tell the node that the upstream leaves; wait until its calls have ended."""
     url = f"http://{node}/v1/upstreams/{upstream.address}"
-    timeout = aiohttp.ClientTimeout(total=2)
+    timeout = aiohttp.ClientTimeout(total=WITHDRAW_TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with session.delete(url) as response:
