--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -19,6 +19,7 @@
 from agaterelay.adapters.platform import PlatformClient
 from agaterelay.adapters.settings import Settings, load_settings
 from agaterelay.client import KEEP_ALIVE_S
+from agaterelay.core.health import forget_upstreams
 from agaterelay.core.keys import KeyWindow
 from agaterelay.core.membership import Member
 from agaterelay.core.messages import Notify
@@ -71,6 +72,7 @@
 UPSTREAM_CONNECTIONS = 130
 IN_FLIGHT_POLL_S = 0.02
 LEAVE_GRACE_S = 0.5
+TIDY_PERIOD_S = 10.0
 LINGER_S = KEEP_ALIVE_S + 0.5
 EXIT_SETTINGS_INVALID = 2
 
@@ -173,6 +175,15 @@
     )
 
 
+async def tidy_health(node: Node) -> None:
+    """Forget what calls showed of upstreams that are gone, until cancelled."""
+    while True:
+        await node.world.clock.sleep(TIDY_PERIOD_S)
+        members = node.board.members.values()
+        known = [item.address for member in members for item in member.upstreams]
+        forget_upstreams(node.entry.health, known)
+
+
 async def supervise(node: Node, name: str, start: Any) -> None:
     """Run a task; where it fails, record that and start it again."""
     while True:
@@ -246,6 +257,7 @@
         "probes": lambda: run_probes(node.prober),
         "news": lambda: run_news(node.prober),
         "upstreams": lambda: run_upstreams(node.upstreams),
+        "health": lambda: tidy_health(node),
         "brakes": lambda: run_brakes(node.mover),
         "mover": lambda: run_mover(node.mover),
     }
--- /dev/null
+++ b/tests/core/test_routing.py
@@ -0,0 +1,84 @@
+"""Locality first, then load; doubted hosts last, and never nobody."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from agaterelay.core.membership import Member, MemberState, UpstreamInfo
+from agaterelay.core.routing import choose_target, distance, targets_of
+
+OWN = Member("127.0.1.1:7001", "bangkok-1", 1, 1, region="bangkok")
+ZONES = {
+    "bangkok-1": "bangkok",
+    "bangkok-2": "bangkok",
+    "north-1": "north",
+}
+
+placed = st.lists(
+    st.tuples(
+        st.sampled_from(sorted(ZONES)),
+        st.sampled_from(list(MemberState)),
+        st.integers(0, 15),
+        st.booleans(),
+    ),
+    max_size=10,
+)
+
+
+def view_of(places):
+    view = {}
+    for number, (zone, state, _, draining) in enumerate(places, start=1):
+        host = f"127.0.1.{number}:7001"
+        upstream = UpstreamInfo("archive", "v1", f"{host}:9000", 10, 0, draining)
+        view[host] = Member(host, zone, 1, 1, state, ZONES[zone], host, "", (upstream,))
+    return view
+
+
+@settings(derandomize=True, max_examples=300)
+@given(placed, st.integers(0, 100))
+def test_the_choice_is_nearest_with_room_and_never_left_or_draining(places, seed):
+    view = view_of(places)
+    targets = targets_of(view, "archive", "v1")
+    for target in targets:
+        assert view[target.host].usable
+        assert not target.upstream.draining
+    loads = {
+        f"127.0.1.{number}:7001": in_flight / 10
+        for number, (_, _, in_flight, _) in enumerate(places, start=1)
+    }
+    chosen = choose_target(
+        targets, OWN, lambda target: loads[target.host], random.Random(seed)
+    )
+    assert (chosen is None) == (not targets)
+    if chosen is None:
+        return
+    free = [target for target in targets if loads[target.host] < 1]
+    nearest = min(distance(target, OWN) for target in free or targets)
+    assert distance(chosen, OWN) == nearest
+    if len([t for t in free or targets if distance(t, OWN) == nearest]) == 2:
+        peers = [t for t in free or targets if distance(t, OWN) == nearest]
+        assert loads[chosen.host] == min(loads[item.host] for item in peers)
+
+
+def test_doubted_hosts_stay_in_but_come_last():
+    places = [
+        ("bangkok-1", MemberState.SUSPECT, 0, False),
+        ("north-1", MemberState.ALIVE, 0, False),
+    ]
+    targets = targets_of(view_of(places), "archive", "v1")
+    chosen = choose_target(targets, OWN, lambda _: 0.0, random.Random(1))
+    assert chosen.zone == "north-1"
+    alone = choose_target(targets[:1], OWN, lambda _: 0.0, random.Random(1))
+    assert alone.doubted
+
+
+def test_a_zone_out_of_reach_is_doubted_and_not_dropped():
+    places = [
+        ("bangkok-2", MemberState.ALIVE, 0, False),
+        ("north-1", MemberState.ALIVE, 0, False),
+    ]
+    cut = frozenset({"bangkok-2"})
+    targets = targets_of(view_of(places), "archive", "v1", cut)
+    assert [target.doubted for target in targets] == [True, False]
+    chosen = choose_target(targets, OWN, lambda _: 0.0, random.Random(1))
+    assert chosen.zone == "north-1"
