--- a/agaterelay/cli/main.py
+++ b/agaterelay/cli/main.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from pathlib import Path
 
@@ -27,6 +28,8 @@
     if len(arguments) != 2 or arguments[0] != "--settings":
         print(NODE_USAGE, file=sys.stderr)
         return 2
+    # The RPC library's own lines on standard error are no numbered events.
+    os.environ.setdefault("GRPC_VERBOSITY", "NONE")
     from agaterelay.node import run
 
     return run(Path(arguments[1]))
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -13,11 +13,16 @@
 import attrs
 
 from agaterelay.adapters.clock import SystemClock
-from agaterelay.adapters.log import configure_log, make_recorder
+from agaterelay.adapters.log import (
+    configure_log,
+    make_recorder,
+    record_library_warnings,
+)
 from agaterelay.adapters.metrics import Metrics
 from agaterelay.adapters.peers import PeerClient, PeerHandlers, start_peer_server
 from agaterelay.adapters.platform import PlatformClient
 from agaterelay.adapters.settings import Settings, load_settings
+from agaterelay.adapters.tls import load_credentials
 from agaterelay.client import KEEP_ALIVE_S
 from agaterelay.core.health import forget_upstreams
 from agaterelay.core.keys import KeyWindow
@@ -170,7 +175,7 @@
         fetch=lambda digests: serve_fetch(node.keeper, digests),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
         evidence=lambda move: serve_evidence(node.mover, move),
-        events=lambda after, most: own_events(node.world, after, most),
+        events=lambda query: own_events(node.world, query),
         status=lambda: own_status(node.board),
     )
 
@@ -219,10 +224,14 @@
         limit=0, limit_per_host=UPSTREAM_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S
     )
     session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-    peers = PeerClient(PEER_TIMEOUT_S)
+    tls = load_credentials(settings.tls) if settings.tls else None
+    peers = PeerClient(PEER_TIMEOUT_S, tls.channel if tls else None)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
     stopping = _stop_signal()
-    peer_server = await start_peer_server(settings.peers_address, peer_handlers(node))
+    record_library_warnings(node.world.record)
+    peer_server = await start_peer_server(
+        settings.peers_address, peer_handlers(node), tls.server if tls else None
+    )
     operators = await start_operators_server(node.operators, settings.operators_address)
     calls = await start_calls_server(node.entry, settings.calls_address)
     node.world.record(EventKind.NODE_STARTED, zone=settings.zone)
--- a/agaterelay/tasks/operators/server.py
+++ b/agaterelay/tasks/operators/server.py
@@ -10,12 +10,19 @@
 from aiohttp import web
 
 from agaterelay.core.parse import MAX_DOCUMENT_BYTES
-from agaterelay.tasks.operators import document, fleet, moves, upstreams
-from agaterelay.tasks.operators.requests import BadRequestError, Operators
+from agaterelay.events import EventKind
+from agaterelay.tasks.operators import document, events, fleet, moves, upstreams
+from agaterelay.tasks.operators.requests import BadRequestError, Operators, refuse
+
+MAX_ERROR_LENGTH = 300
 
 _ROUTES = (
     ("PUT", "/v1/upstreams/{address}", upstreams.announce_upstream),
     ("DELETE", "/v1/upstreams/{address}", upstreams.withdraw_upstream),
+    ("POST", "/v1/upstreams/{address}/drain", upstreams.drain_upstream),
+    ("DELETE", "/v1/upstreams/{address}/drain", upstreams.drain_upstream),
+    ("POST", "/v1/drain", upstreams.drain_host),
+    ("DELETE", "/v1/drain", upstreams.drain_host),
     ("GET", "/v1/document", document.show_document),
     ("POST", "/v1/changes", document.make_change),
     ("GET", "/v1/changes/{change_id}", document.show_change),
@@ -24,7 +31,7 @@
     ("GET", "/v1/node", fleet.show_node),
     ("GET", "/v1/members", fleet.show_members),
     ("GET", "/v1/status", fleet.show_status),
-    ("GET", "/v1/timeline", fleet.show_timeline),
+    ("GET", "/v1/timeline", events.show_timeline),
     ("GET", "/metrics", fleet.show_metrics),
 )
 
@@ -34,8 +41,11 @@
     try:
         return await handler(request)
     except BadRequestError as error:
-        body = {"error": "bad-request", "message": str(error)}
-        return web.json_response(body, status=400)
+        return refuse(400, "bad-request", str(error))
+    except web.HTTPException as error:
+        if error.status < 400:
+            raise
+        return refuse(error.status, "bad-request", error.reason)
 
 
 async def start_operators_server(operators: Operators, address: str) -> web.AppRunner:
@@ -58,6 +68,14 @@
 
 def _bind(function: Any, operators: Operators) -> Any:
     async def handler(request: web.Request) -> web.Response:
-        return await function(operators, request)
+        try:
+            return await function(operators, request)
+        except (BadRequestError, web.HTTPException):
+            raise
+        except Exception as error:
+            name = f"operators {request.method} {function.__name__}"
+            shown = f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH]
+            operators.world.record(EventKind.TASK_FAILED, task=name, error=shown)
+            return refuse(500, "internal", "the request failed; see the time line")
 
     return handler
