--- a/tests/adapters/test_wire.py
+++ b/tests/adapters/test_wire.py
@@ -38,11 +38,14 @@
 exchanges = st.builds(
     Exchange,
     stamp=st.builds(Stamp, numbers, numbers),
-    sender=members,
+    sender=names,
+    pair=st.tuples(numbers, numbers),
     revision=st.builds(Head, numbers, names),
     updates=st.lists(members, max_size=3).map(tuple),
     brakes=st.lists(st.builds(Brake, names, names, numbers), max_size=2).map(tuple),
+    want_entry=st.booleans(),
     want_all=st.booleans(),
+    fingerprint=st.lists(st.integers(0, 2**32 - 1), max_size=4).map(tuple),
 )
 
 
