Script joining, leaving, pauses, cuts, the registry and planned stops

A paused host that came back dropped its upstreams at once, since their heartbeats had aged while it was paused; that time is left out of the ages now. Two writers that raced for a registry row met only 30 s later; the loser reads the row again, and the checks begin at 1 s and double.

--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -30,7 +30,7 @@
 from agaterelay.core.messages import Notify
 from agaterelay.core.timeline import Timeline, tick
 from agaterelay.events import EventKind
-from agaterelay.ports import Objects, Peers, Table
+from agaterelay.ports import Clock, Objects, Peers, Table
 from agaterelay.tasks.board import Board, Seen, World
 from agaterelay.tasks.calls import start_calls_server
 from agaterelay.tasks.committer import Committer
@@ -90,6 +90,7 @@
     objects: Objects
     peers: Peers
     session: aiohttp.ClientSession
+    clock: Clock = attrs.field(factory=SystemClock)
 
 
 @attrs.frozen
@@ -110,7 +111,7 @@
 
 def build_node(settings: Settings, ports: Ports) -> Node:
     """Wire the tasks of a node together; nothing runs yet."""
-    clock = SystemClock()
+    clock = ports.clock
     timeline = Timeline(settings.peers_address, clock.now)
     world = World(
         settings=settings,
--- a/agaterelay/tasks/registry.py
+++ b/agaterelay/tasks/registry.py
@@ -153,7 +153,7 @@
     delay_s = FIRST_CHECK_S
     while True:
         await gossip.world.clock.sleep(delay_s * gossip.draw.uniform(0.8, 1.2))
-        delay_s = CHECK_PERIOD_S
+        delay_s = min(2 * delay_s, CHECK_PERIOD_S)
         zone = gossip.world.settings.zone
         if is_writer(gossip.board.members, zone, gossip.board.own.host):
             await check_rows(registry)
@@ -163,34 +163,38 @@
     """Write this zone's row where it is due; meet hosts that the rows list."""
     gossip = registry.gossip
     settings = gossip.world.settings
+    others = [zone for zone in settings.zones if zone != settings.zone]
     try:
-        row = await read_row(registry, settings.zone)
-        now = gossip.world.clock.now()
-        if needs_write(row, gossip.board.members, now):
-            await write_row(registry)
-        rows = [row]
-        for zone in settings.zones:
-            if zone != settings.zone:
-                rows.append(await read_row(registry, zone))
+        rows = [await refresh_row(registry)]
+        for zone in others:
+            rows.append(await read_row(registry, zone))
     except PlatformError:
         return
-    for item in rows:
-        if item is not None:
-            await _meet(gossip, item)
+    for row in rows:
+        if row is not None:
+            await _meet(gossip, row)
 
 
-async def write_row(registry: Registry) -> None:
-    """Write this zone's row; another writer that was faster does as well.
+async def refresh_row(registry: Registry) -> RegistryRow | None:
+    """Return this zone's row, written anew where that was due.
+
+    Returns:
+        The row as another writer left it where that one was faster.
 
     Raises:
         PlatformError: The table did not answer.
     """
     gossip = registry.gossip
     zone = gossip.world.settings.zone
+    row = await read_row(registry, zone)
     now = gossip.world.clock.now()
-    row = sample_row(gossip.board.members, zone, now, gossip.draw)
-    version = registry.versions.get(zone, 0)
-    await gossip.world.table.write(row_name(zone), encode_row(row), version)
+    if not needs_write(row, gossip.board.members, now):
+        return row
+    fresh = sample_row(gossip.board.members, zone, now, gossip.draw)
+    version = registry.versions[zone]
+    if await gossip.world.table.write(row_name(zone), encode_row(fresh), version):
+        return row
+    return await read_row(registry, zone)
 
 
 async def _meet(gossip: Gossip, row: RegistryRow) -> None:
--- a/agaterelay/tasks/upstreams.py
+++ b/agaterelay/tasks/upstreams.py
@@ -94,8 +94,19 @@
     return tuple(slots[address].info for address in sorted(slots))
 
 
+def forgive_pause(upstreams: Upstreams, pause_s: float) -> None:
+    """Leave the time in which this process was paused out of all heartbeats' ages."""
+    for item in upstreams.slots.values():
+        item.heartbeat_s += pause_s
+
+
 async def run_upstreams(upstreams: Upstreams) -> None:
     """Expire upstreams until cancelled."""
+    clock = upstreams.world.clock
     while True:
-        await upstreams.world.clock.sleep(CHECK_PERIOD_S)
+        before_s = clock.monotonic_s()
+        await clock.sleep(CHECK_PERIOD_S)
+        late_s = clock.monotonic_s() - before_s - CHECK_PERIOD_S
+        if late_s > CHECK_PERIOD_S:
+            forgive_pause(upstreams, late_s)
         expire_upstreams(upstreams)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -73,6 +73,7 @@
     platform: subprocess.Popen | None = None
     zones: tuple[str, ...] = ()
     node_command: tuple[str, ...] = ("agaterelay.cli.main", "node")
+    has_seeds: bool = True
 
     @property
     def platform_address(self) -> str:
@@ -100,17 +101,21 @@
 
 
 @contextlib.contextmanager
-def deployment(zones: dict[str, int], faulty: bool = False, **timing: float) -> Any:
+def deployment(
+    zones: dict[str, int], faulty: bool = False, seeds: bool = True, **timing: float
+) -> Any:
     """Run the platform and a number of nodes by zone; stop all at the end.
 
     Args:
         zones: The number of nodes by availability zone.
         faulty: Whether the nodes take cuts, see ``cut``.
+        seeds: Whether the nodes' settings name a host of each zone as a seed.
         timing: The nodes' ``[timing]`` settings.
     """
     block, lock = claim_block()
     with tempfile.TemporaryDirectory(prefix="agaterelay-") as folder:
         running = Deployment(block, Path(folder), lock, timing, zones=tuple(zones))
+        running.has_seeds = seeds
         if faulty:
             running.node_command = ("standins.faulty_node",)
         try:
@@ -153,7 +158,8 @@
 
 def settings_text(running: Deployment, host: HostProcesses) -> str:
     """Return the settings of a host's node."""
-    seeds = [item.peers for item in running.hosts if item.ip.endswith(".1")]
+    first = [item.peers for item in running.hosts if item.ip.endswith(".1")]
+    seeds = first if running.has_seeds else []
     timing = "\n".join(f"{key} = {value}" for key, value in running.timing.items())
     admin = hashlib.sha256(ADMIN_KEY.encode()).hexdigest()
     return f"""[node]
--- a/standins/faulty_node.py
+++ b/standins/faulty_node.py
@@ -10,12 +10,14 @@
 import argparse
 import asyncio
 import sys
+from datetime import datetime, timedelta
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 from aiohttp import web
 
+from agaterelay.adapters.clock import SystemClock
 from agaterelay.adapters.log import configure_log
 from agaterelay.adapters.settings import Settings, load_settings
 from agaterelay.node import Ports, run_node
@@ -119,7 +121,20 @@
         await self._request.__aexit__(*error)
 
 
-def wrap_ports(ports: Ports, settings: Settings, cuts: Cuts) -> Ports:
+class LateClock(SystemClock):
+    """The system's clock, whose wall time is behind."""
+
+    def __init__(self, behind_s: float) -> None:
+        self._behind = timedelta(seconds=behind_s)
+
+    def now(self) -> datetime:
+        """Return the wall time, in UTC."""
+        return super().now() - self._behind
+
+
+def wrap_ports(
+    ports: Ports, settings: Settings, cuts: Cuts, clock_behind_s: float
+) -> Ports:
     """Return the ports with cuts in them."""
     table = settings.table_url.partition("://")[2]
     objects = settings.objects_url.partition("://")[2]
@@ -128,6 +143,7 @@
         objects=CutPlatform(ports.objects, objects, cuts),
         peers=CutPeers(ports.peers, cuts),
         session=CutSession(ports.session, cuts),
+        clock=LateClock(clock_behind_s),
     )
 
 
@@ -146,22 +162,26 @@
     await web.TCPSite(runner, host, FAULT_PORT).start()
 
 
-async def run(settings: Settings) -> None:
+async def run(settings: Settings, clock_behind_s: float) -> None:
     """Run the node and its fault address."""
     cuts = Cuts()
     await serve_faults(settings, cuts)
-    await run_node(settings, lambda ports: wrap_ports(ports, settings, cuts))
+    await run_node(
+        settings, lambda ports: wrap_ports(ports, settings, cuts, clock_behind_s)
+    )
 
 
 def main() -> None:
     """Read the settings and run."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--settings", type=Path, required=True)
-    settings, findings = load_settings(parser.parse_args().settings)
+    parser.add_argument("--clock-behind-s", type=float, default=0.0)
+    arguments = parser.parse_args()
+    settings, findings = load_settings(arguments.settings)
     if settings is None:
         sys.exit("\n".join(map(str, findings)))
     configure_log()
-    asyncio.run(run(settings))
+    asyncio.run(run(settings, arguments.clock_behind_s))
 
 
 if __name__ == "__main__":
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -56,6 +56,7 @@
     started_s: float = attrs.field(factory=time.monotonic)
     in_flight: int = 0
     draining: bool = False
+    leaving: bool = False
     records: TextIO | None = None
 
 
@@ -139,7 +140,7 @@
                 "version": upstream.version,
                 "slots": upstream.slots,
                 "connections": upstream.connections,
-                "draining": upstream.draining,
+                "draining": upstream.draining or upstream.leaving,
             }
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 async with session.put(url, json=body) as response:
@@ -169,11 +170,17 @@
         upstream.started_s = time.monotonic()
         return web.Response()
 
+    async def leave(_: web.Request) -> web.Response:
+        # It announces a drain, but still runs what it gets, so that its record shows.
+        upstream.leaving = True
+        return web.Response()
+
     async def show_health(_: web.Request) -> web.Response:
         return web.json_response({"healthy": True, "load": 0.0})
 
     application = web.Application(client_max_size=8 << 20)
     application.router.add_put("/-/behaviour", set_behaviour)
+    application.router.add_put("/-/leave", leave)
     application.router.add_get("/-/health", show_health)
     application.router.add_route("*", "/{path:.*}", handle)
     return application
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -50,6 +50,7 @@
 
     running: Deployment
     traffic: callers.Traffic | None = None
+    left_at_s: float = 0.0
     revisions: dict[str, list[int]] = attrs.field(factory=lambda: defaultdict(list))
     sampling: threading.Event = attrs.field(factory=threading.Event)
 
@@ -225,6 +226,14 @@
     assert any(isinstance(outcome, Answered) for outcome in outcomes)
 
 
+@then("every call was answered")
+def _every_call(site):
+    callers.stop_traffic(site.traffic)
+    outcomes = site.traffic.outcomes.values()
+    assert outcomes
+    assert [item for item in outcomes if not isinstance(item, Answered)] == []
+
+
 @then("no call was lost, doubled, crossed or falsely refused")
 def _no_problems(site):
     callers.stop_traffic(site.traffic)
