Make "not run" true of the key and send each request only once

Cause, from reading the path of a call: aiohttp sends PUT and DELETE again by itself where a kept connection broke, though a route may say that they are not idempotent; a kept connection is reused with bytes on it that answer nothing; the library followed redirects, so a connector error could come after the upstream had run; the home said "not run" of keys from the future and of keys it had no room for, and freed a refused key, so a late try of it could still run; an entry said "not run" of a caller's key that may be under way elsewhere; a clock set back made forgotten keys young again; an exception left a key in progress for ever; gzip answers lost their Content-Encoding; escaped paths were decoded and split differently on the next hop.

Change: adapters/http.py sends once, reuses only clean connections, and tells "not sent" from "lost". The library takes a key before it sends (POST /agaterelay/v1/keys) and repeats the same key through another node; nodes put the Request-Id on every answer, and it is checked.

--- a/agaterelay/core/outcome.py
+++ b/agaterelay/core/outcome.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """Refused, and certain: no byte of the request reached an upstream."""
+    """Refused, and certain: the call did not run, and no try of its key ever will."""
 
     reason: str
     retry_after_s: float = 0.0
@@ -24,9 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """The request may have run; nobody will run it again."""
+    """The call may have run, be running, or run on another try of its key.
+
+    ``sent`` is False where this one try certainly did not reach the key's home. Only a
+    caller who sent no other try may conclude from it that the call did not run.
+    """
 
     reason: str
+    sent: bool = True
 
 
 Outcome = Answered | NotRun | Unknown
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -13,6 +13,7 @@
 import attrs
 
 from agaterelay.adapters.clock import SystemClock
+from agaterelay.adapters.http import open_session
 from agaterelay.adapters.log import configure_log, make_recorder
 from agaterelay.adapters.metrics import Metrics
 from agaterelay.adapters.peers import PeerClient, PeerHandlers, start_peer_server
@@ -63,7 +64,6 @@
 
 PEER_TIMEOUT_S = 1.0
 RESTART_DELAY_S = 0.5
-UPSTREAM_CONNECTIONS = 130
 IN_FLIGHT_POLL_S = 0.02
 EXIT_SETTINGS_INVALID = 2
 
@@ -194,8 +194,7 @@
         settings.table_url, settings.objects_url, settings.platform_timeout_s
     )
     await platform.open()
-    connector = aiohttp.TCPConnector(limit=0, limit_per_host=UPSTREAM_CONNECTIONS)
-    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    session = open_session()
     peers = PeerClient(PEER_TIMEOUT_S)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
     set_own(node.gossip, node.board.own)
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -2,27 +2,37 @@
 
 from __future__ import annotations
 
-import math
-
 from aiohttp import web
 
-from agaterelay.core.keys import parse_key
-from agaterelay.core.outcome import Answered, NotRun, Outcome
-from agaterelay.events import EventKind
-from agaterelay.tasks.entry import (
+from agaterelay.adapters.outcomes import (
+    DEADLINE_HEADER,
     HOP_HEADER,
+    IDEMPOTENT_HEADER,
+    KEY_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
-    REASON_HEADER,
-    Entry,
-    Request,
-    handle_request,
+    PRIORITY_HEADER,
+    REQUEST_ID_HEADER,
+    RETRIES_HEADER,
+    ROUTE_HEADER,
+    SERVICE_HEADER,
+    VERSION_HEADER,
+    refusal_headers,
 )
+from agaterelay.core.keys import parse_key
+from agaterelay.core.model import Priority
+from agaterelay.core.outcome import Answered, NotRun, Outcome
+from agaterelay.core.retry import parse_retries
+from agaterelay.events import EventKind
+from agaterelay.tasks.entry import Entry, Request, handle_request, mint_keys
 from agaterelay.tasks.owner import Call, run_call
 
 MAX_REQUEST_BYTES = 1 << 20
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 504
+OWN_PATH = "/agaterelay/v1/"
+# Refusals come in floods; the timeline keeps a part of them a second.
+MAX_EVENTS_PER_S = 20
 _OWN_HEADERS = frozenset(
     {"host", "connection", "content-length", "transfer-encoding", "request-id",
      "idempotency-key", "deadline-ms", "keep-alive", "expect", "upgrade", "te",
@@ -39,8 +49,14 @@
     )
 
 
+def _raw_path(request: web.BaseRequest) -> str:
+    if request.raw_path.startswith("/"):
+        return request.raw_path
+    return request.rel_url.raw_path_qs
+
+
 def _deadline_ms(request: web.BaseRequest) -> int | None:
-    text = request.headers.get("Deadline-Ms", "")
+    text = request.headers.get(DEADLINE_HEADER, "")
     return int(text) if text.isdecimal() and len(text) < 10 else None
 
 
@@ -57,11 +73,8 @@
         return response
     not_run = isinstance(outcome, NotRun)
     status = NOT_RUN_STATUS if not_run else UNKNOWN_STATUS
-    kind = "not-run" if not_run else "unknown"
-    headers = {OUTCOME_HEADER: kind, REASON_HEADER: outcome.reason}
-    if not_run and outcome.retry_after_s:
-        headers["Retry-After"] = str(math.ceil(outcome.retry_after_s))
-    text = f"{kind}: {outcome.reason}\n"
+    headers = refusal_headers(outcome)
+    text = f"{headers[OUTCOME_HEADER]}: {outcome.reason}\n"
     return web.Response(status=status, headers=headers, text=text)
 
 
@@ -78,7 +91,18 @@
 
 
 async def handle(entry: Entry, request: web.BaseRequest) -> web.StreamResponse:
-    """Serve one HTTP request, from a caller or from another node."""
+    """Serve one HTTP request, from a caller or from another node.
+
+    Every answer names the request that it belongs to.
+    """
+    if request.path.startswith(OWN_PATH):
+        return _answer_library(entry, request)
+    response = await _serve(entry, request)
+    response.headers[REQUEST_ID_HEADER] = request.headers.get(REQUEST_ID_HEADER, "")
+    return response
+
+
+async def _serve(entry: Entry, request: web.BaseRequest) -> web.Response:
     if (request.content_length or 0) > MAX_REQUEST_BYTES:
         return respond(Answered(413, (), b"the request is too large\n"))
     entry.owner.in_flight += 1
@@ -99,10 +123,24 @@
     return response
 
 
+def _answer_library(entry: Entry, request: web.BaseRequest) -> web.Response:
+    """Answer what the caller library asks of a node."""
+    if request.path != OWN_PATH + "keys" or request.method != "POST":
+        return web.json_response({"error": "no such resource"}, status=404)
+    method = request.query.get("method", "POST")
+    count = request.query.get("count", "1")
+    if not count.isdecimal() or len(count) > 3:
+        return web.json_response({"error": "count must be a number"}, status=400)
+    keys = mint_keys(entry, method, request.query.get("path", ""), int(count))
+    if keys is None:
+        return web.json_response({"error": "no route"}, status=404)
+    return web.json_response({"keys": [str(key) for key in keys]})
+
+
 def _in_flight(entry: Entry, request: web.BaseRequest) -> int:
     """Return the calls in flight on the upstreams that a hop was for."""
-    service = request.headers.get("Agaterelay-Service", "")
-    version = request.headers.get("Agaterelay-Version", "")
+    service = request.headers.get(SERVICE_HEADER, "")
+    version = request.headers.get(VERSION_HEADER, "")
     return sum(
         item.in_flight
         for item in entry.owner.slots.values()
@@ -111,47 +149,59 @@
 
 
 def _note(entry: Entry, request: web.BaseRequest, outcome: Outcome) -> None:
-    if isinstance(outcome, Answered):
+    if isinstance(outcome, Answered) or not _has_room(entry):
         return
     not_run = isinstance(outcome, NotRun)
     entry.world.record(
         EventKind.CALL_NOT_RUN if not_run else EventKind.CALL_UNKNOWN,
-        request_id=request.headers.get("Request-Id", ""),
+        request_id=request.headers.get(REQUEST_ID_HEADER, ""),
         path=request.path,
         reason=outcome.reason,
     )
 
 
+def _has_room(entry: Entry) -> bool:
+    """Return whether the timeline takes another event of this second."""
+    second = int(entry.world.clock.monotonic_s())
+    if second != entry.events_second:
+        entry.events_second = second
+        entry.events = 0
+    entry.events += 1
+    return entry.events <= MAX_EVENTS_PER_S
+
+
 def _caller_request(request: web.BaseRequest, body: bytes) -> Request:
     return Request(
         method=request.method,
         path=request.path,
-        query=request.query_string,
+        raw_path=_raw_path(request),
         headers=_kept_headers(request),
         body=body,
-        request_id=request.headers.get("Request-Id", "")[:128],
+        request_id=request.headers.get(REQUEST_ID_HEADER, "")[:128],
         timeout_ms=_deadline_ms(request),
-        key=request.headers.get("Idempotency-Key", "")[:256],
+        key=request.headers.get(KEY_HEADER, "")[:256],
+        retries_left=request.headers.get(RETRIES_HEADER, ""),
     )
 
 
 def _hop_call(entry: Entry, request: web.BaseRequest, body: bytes) -> Call:
     headers = request.headers
-    path = request.path
-    if request.query_string:
-        path += f"?{request.query_string}"
+    bulk = headers.get(PRIORITY_HEADER) == Priority.BULK.value
     left_s = (_deadline_ms(request) or 1) / 1000
     return Call(
         method=request.method,
-        path=path,
+        path=_raw_path(request),
         headers=_kept_headers(request),
         body=body,
-        route=headers.get("Agaterelay-Route", ""),
-        service=headers.get("Agaterelay-Service", ""),
-        version=headers.get("Agaterelay-Version", ""),
-        request_id=headers.get("Request-Id", ""),
+        route=headers.get(ROUTE_HEADER, ""),
+        service=headers.get(SERVICE_HEADER, ""),
+        version=headers.get(VERSION_HEADER, ""),
+        request_id=headers.get(REQUEST_ID_HEADER, ""),
         deadline_s=entry.world.clock.monotonic_s() + left_s,
-        key=parse_key(headers.get("Idempotency-Key", "")),
+        key=parse_key(headers.get(KEY_HEADER, "")),
+        idempotent=headers.get(IDEMPOTENT_HEADER) == "1",
+        priority=Priority.BULK if bulk else Priority.INTERACTIVE,
+        retries_left=parse_retries(headers.get(RETRIES_HEADER, "")),
     )
 
 
@@ -165,7 +215,9 @@
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
         return await handle(entry, request)
 
-    runner = web.ServerRunner(web.Server(serve, access_log=None))
+    runner = web.ServerRunner(
+        web.Server(serve, handler_cancellation=True, access_log=None)
+    )
     await runner.setup()
     host, port = address.rsplit(":", 1)
     await web.TCPSite(runner, host, int(port), backlog=512).start()
--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -12,6 +12,26 @@
 import aiohttp
 import attrs
 
+from agaterelay.adapters.http import (
+    AnswerLostError,
+    HttpAnswer,
+    NotSentError,
+    send_once,
+)
+from agaterelay.adapters.outcomes import (
+    DEADLINE_HEADER,
+    HOP_HEADER,
+    IDEMPOTENT_HEADER,
+    KEY_HEADER,
+    LOAD_HEADER,
+    PRIORITY_HEADER,
+    REQUEST_ID_HEADER,
+    RETRIES_HEADER,
+    ROUTE_HEADER,
+    SERVICE_HEADER,
+    VERSION_HEADER,
+    outcome_of,
+)
 from agaterelay.core.health import (
     Health,
     load_of,
@@ -20,8 +40,19 @@
     usable_targets,
 )
 from agaterelay.core.keys import Key, mint_key, parse_key
+from agaterelay.core.membership import Member
 from agaterelay.core.model import Route, Snapshot
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
+from agaterelay.core.retry import (
+    RetryTokens,
+    backoff_s,
+    earn,
+    may_retry,
+    parse_retries,
+    retries_to_carry,
+    shortened_ms,
+    spend,
+)
 from agaterelay.core.routing import (
     Target,
     choose_target,
@@ -33,25 +64,22 @@
 from agaterelay.tasks.board import Board, World
 from agaterelay.tasks.owner import Call, Owner, run_call
 
-MAX_TRIES = 3
-OUTCOME_HEADER = "Agaterelay-Outcome"
-REASON_HEADER = "Agaterelay-Reason"
-HOP_HEADER = "Agaterelay-Hop"
-LOAD_HEADER = "Agaterelay-Load"
+MAX_KEYS_AT_ONCE = 64
 
 
 @attrs.frozen
 class Request:
-    """What a caller sent."""
+    """What a caller sent; ``raw_path`` is the path and query as they were sent."""
 
     method: str
     path: str
-    query: str
+    raw_path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
     request_id: str
     timeout_ms: int | None = None
     key: str = ""
+    retries_left: str = ""
 
 
 @attrs.define
@@ -65,59 +93,64 @@
     draw: random.Random = attrs.field(factory=random.Random)
     in_flight: dict[str, int] = attrs.field(factory=dict)
     health: Health = attrs.field(factory=Health)
+    tokens: RetryTokens = attrs.field(factory=RetryTokens)
+    events: int = 0
+    events_second: int = 0
 
 
 async def handle_request(entry: Entry, request: Request) -> Outcome:
-    """Serve a caller's request."""
+    """Serve a caller's request.
+
+    Of a key that the caller brought only its home may say "not run": an earlier try
+    may be under way elsewhere.
+    """
     snapshot = entry.board.active
     if entry.board.stopping:
-        return NotRun("the node is stopping")
+        return _refuse_here(request, "the node is stopping")
     if snapshot is None:
-        return NotRun("the node has no configuration yet", retry_after_s=1.0)
+        return _refuse_here(request, "the node has no configuration yet")
     route = match_route(snapshot, request.method, request.path)
     if route is None:
         return Answered(404, (), b"no route\n")
     timeout_ms = min(request.timeout_ms or route.timeout_ms, route.timeout_ms)
     deadline_s = entry.world.clock.monotonic_s() + timeout_ms / 1000
-    if route.idempotent:
-        return await _try_several(entry, snapshot, route, request, deadline_s)
-    return await _try_once(entry, snapshot, route, request, deadline_s)
+    if route.idempotent or not request.key:
+        return await _try_targets(entry, snapshot, route, request, deadline_s)
+    key = parse_key(request.key)
+    if key is None:
+        return NotRun("the idempotency key was not minted by a node")
+    return await _send_to_home(entry, snapshot, route, request, key, deadline_s)
+
+
+def _refuse_here(request: Request, reason: str) -> Outcome:
+    if request.key:
+        return Unknown(reason, sent=False)
+    return NotRun(reason, retry_after_s=1.0)
 
 
-async def _try_several(
+async def _try_targets(
     entry: Entry, snapshot: Snapshot, route: Route, request: Request, deadline_s: float
 ) -> Outcome:
-    """Send an idempotent request until it is answered or the tries are used up."""
+    """Send a request until it is answered, or may not be tried again."""
     outcome: Outcome = NotRun("no upstream is known", retry_after_s=0.5)
+    budget = parse_retries(request.retries_left)
+    earn(entry.tokens)
     tried: set[str] = set()
-    for _ in range(MAX_TRIES):
+    for attempt in range(budget + 1):
         target = _choose(entry, snapshot, route, tried)
-        if target is None:
+        if target is None or (attempt and not spend(entry.tokens)):
             return outcome
         tried.add(target.upstream.address)
-        outcome = await _dispatch(entry, route, request, target, deadline_s, None)
-        if isinstance(outcome, Answered):
+        if attempt:
+            await asyncio.sleep(backoff_s(attempt, entry.draw))
+        retries = retries_to_carry(budget, attempt)
+        call = _call_of(route, request, target.upstream.version, deadline_s, retries)
+        outcome = await _dispatch(entry, call, target)
+        if not may_retry(outcome, route.idempotent):
             return outcome
     return outcome
 
 
-async def _try_once(
-    entry: Entry, snapshot: Snapshot, route: Route, request: Request, deadline_s: float
-) -> Outcome:
-    """Send a request that must not run twice to the home of its key."""
-    if request.key:
-        key = parse_key(request.key)
-        if key is None:
-            return NotRun("the idempotency key was not minted by a node")
-        return await _send_to_home(entry, snapshot, route, request, key, deadline_s)
-    target = _choose(entry, snapshot, route, set())
-    if target is None:
-        return NotRun("no upstream is known", retry_after_s=0.5)
-    member = entry.board.members[target.host]
-    key = mint_key(target.host, member.incarnation, entry.world.clock.now())
-    return await _dispatch(entry, route, request, target, deadline_s, key)
-
-
 async def _send_to_home(
     entry: Entry,
     snapshot: Snapshot,
@@ -126,19 +159,72 @@
     key: Key,
     deadline_s: float,
 ) -> Outcome:
+    """Send a request to the one node that may run its key."""
     member = entry.board.members.get(key.host)
-    if member is None or member.incarnation != key.incarnation:
-        return Unknown("the node that knew this key was replaced")
-    shares = version_shares(snapshot, route.service)
-    targets = [
-        target
-        for version in shares
-        for target in targets_of(entry.board.members, route.service, version)
-        if target.host == key.host
-    ]
-    if not targets:
-        return Unknown("the key's home has no upstream for it")
-    return await _dispatch(entry, route, request, targets[0], deadline_s, key)
+    if member is None:
+        return Unknown("the key's home is not known here", sent=False)
+    if member.incarnation > key.incarnation:
+        return Unknown("the node that knew this key was replaced", sent=False)
+    budget = parse_retries(request.retries_left)
+    earn(entry.tokens)
+    for version in version_shares(snapshot, route.service):
+        call = _call_of(route, request, version, deadline_s, budget, key)
+        for target in targets_of(entry.board.members, route.service, version):
+            if target.host == key.host:
+                return await _dispatch(entry, call, target)
+    # The home may still hold what became of an earlier try.
+    call = _call_of(route, request, "", deadline_s, budget, key)
+    if key.host == entry.board.own.host:
+        return await run_call(entry.owner, call)
+    return (await _forward(entry, call, member.calls_address))[0]
+
+
+def mint_keys(
+    entry: Entry, method: str, path: str, count: int
+) -> tuple[Key, ...] | None:
+    """Return new keys for a route, each with a home that can run it now.
+
+    Returns:
+        The keys, none where no upstream is known, or None where no route matches.
+    """
+    snapshot = entry.board.active
+    route = match_route(snapshot, method, path) if snapshot is not None else None
+    if snapshot is None or route is None:
+        return None
+    keys = []
+    for _ in range(min(count, MAX_KEYS_AT_ONCE)):
+        target = _choose(entry, snapshot, route, set())
+        if target is None:
+            break
+        member: Member = entry.board.members[target.host]
+        now = entry.world.clock.now()
+        keys.append(mint_key(target.host, member.incarnation, now))
+    return tuple(keys)
+
+
+def _call_of(
+    route: Route,
+    request: Request,
+    version: str,
+    deadline_s: float,
+    retries_left: int,
+    key: Key | None = None,
+) -> Call:
+    return Call(
+        method=request.method,
+        path=request.raw_path,
+        headers=request.headers,
+        body=request.body,
+        route=route.name,
+        service=route.service,
+        version=version,
+        request_id=request.request_id,
+        deadline_s=deadline_s,
+        key=key,
+        idempotent=route.idempotent,
+        priority=route.priority,
+        retries_left=retries_left,
+    )
 
 
 def _choose(
@@ -174,28 +260,8 @@
     return load_of(entry.health, target, in_flight, now_s)
 
 
-async def _dispatch(
-    entry: Entry,
-    route: Route,
-    request: Request,
-    target: Target,
-    deadline_s: float,
-    key: Key | None,
-) -> Outcome:
+async def _dispatch(entry: Entry, call: Call, target: Target) -> Outcome:
     """Run a call here, or send it to the node that owns the target."""
-    path = request.path + (f"?{request.query}" if request.query else "")
-    call = Call(
-        method=request.method,
-        path=path,
-        headers=request.headers,
-        body=request.body,
-        route=route.name,
-        service=route.service,
-        version=target.upstream.version,
-        request_id=request.request_id,
-        deadline_s=deadline_s,
-        key=key,
-    )
     address = target.upstream.address
     entry.in_flight[address] = entry.in_flight.get(address, 0) + 1
     started_s = entry.world.clock.monotonic_s()
@@ -203,7 +269,9 @@
         if target.host == entry.board.own.host:
             outcome = await run_call(entry.owner, call)
         else:
-            outcome = await _forward(entry, call, target)
+            outcome, answer = await _forward(entry, call, target.calls_address)
+            if answer is not None:
+                _note_load(entry, target, answer.headers.get(LOAD_HEADER, ""))
         now_s = entry.world.clock.monotonic_s()
         latency_ms = (now_s - started_s) * 1000
         observe(entry.health, target, outcome, latency_ms, now_s)
@@ -214,36 +282,51 @@
             del entry.in_flight[address]
 
 
-async def _forward(entry: Entry, call: Call, target: Target) -> Outcome:
-    left_s = call.deadline_s - entry.world.clock.monotonic_s()
-    if left_s <= 0:
-        return NotRun("the deadline has passed")
+def hop_headers(call: Call, left_ms: int) -> list[tuple[str, str]]:
+    """Return the headers of a call on its way to the owner of an upstream."""
     headers = [
         *call.headers,
         (HOP_HEADER, "1"),
-        ("Agaterelay-Route", call.route),
-        ("Agaterelay-Service", call.service),
-        ("Agaterelay-Version", call.version),
-        ("Deadline-Ms", str(max(int(left_s * 1000), 1))),
-        ("Request-Id", call.request_id),
+        (ROUTE_HEADER, call.route),
+        (SERVICE_HEADER, call.service),
+        (VERSION_HEADER, call.version),
+        (PRIORITY_HEADER, call.priority.value),
+        (IDEMPOTENT_HEADER, "1" if call.idempotent else "0"),
+        (RETRIES_HEADER, str(call.retries_left)),
+        (DEADLINE_HEADER, str(left_ms)),
+        (REQUEST_ID_HEADER, call.request_id),
     ]
     if call.key is not None:
-        headers.append(("Idempotency-Key", str(call.key)))
+        headers.append((KEY_HEADER, str(call.key)))
+    return headers
+
+
+async def _forward(
+    entry: Entry, call: Call, calls_address: str
+) -> tuple[Outcome, HttpAnswer | None]:
+    now_s = entry.world.clock.monotonic_s()
+    left_ms = shortened_ms(call.deadline_s, now_s)
+    if left_ms == 0:
+        return _not_sent(call, "the deadline has passed"), None
     try:
-        async with asyncio.timeout(left_s):
-            async with entry.session.request(
-                call.method,
-                f"http://{target.calls_address}{call.path}",
-                data=call.body,
-                headers=headers,
-                allow_redirects=False,
-            ) as response:
-                _note_load(entry, target, response.headers.get(LOAD_HEADER, ""))
-                return _outcome_of(response, await response.read())
-    except aiohttp.ClientConnectorError:
-        return NotRun("the upstream's node cannot be reached")
-    except (aiohttp.ClientError, TimeoutError) as error:
-        return Unknown(f"the answer was lost: {type(error).__name__}")
+        answer = await send_once(
+            entry.session,
+            call.method,
+            calls_address,
+            call.path,
+            call.body,
+            hop_headers(call, left_ms),
+            call.deadline_s - now_s,
+        )
+    except NotSentError:
+        return _not_sent(call, "the upstream's node cannot be reached"), None
+    except AnswerLostError as error:
+        return Unknown(f"the answer was lost: {error}"), None
+    return outcome_of(answer, call.request_id), answer
+
+
+def _not_sent(call: Call, reason: str) -> Outcome:
+    return NotRun(reason) if call.key is None else Unknown(reason, sent=False)
 
 
 def _note_load(entry: Entry, target: Target, report: str) -> None:
@@ -254,19 +337,3 @@
     note_load(
         entry.health, address, int(report), entry.in_flight.get(address, 0), now_s
     )
-
-
-def _outcome_of(response: aiohttp.ClientResponse, body: bytes) -> Outcome:
-    kind = response.headers.get(OUTCOME_HEADER, "")
-    reason = response.headers.get(REASON_HEADER, "")
-    if kind == "not-run":
-        return NotRun(reason, float(response.headers.get("Retry-After", "0")))
-    if kind != "answered":
-        return Unknown(reason or "the node did not say what became of the call")
-    skip = {OUTCOME_HEADER.lower(), "content-length", "date", "server", "connection"}
-    headers = tuple(
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in skip
-    )
-    return Answered(response.status, headers, body)
--- a/standins/faulty_node.py
+++ b/standins/faulty_node.py
@@ -85,7 +85,7 @@
         self._session = session
         self._cuts = cuts
 
-    def request(self, method: str, url: str, **options: Any) -> Any:
+    def request(self, method: str, url: object, **options: Any) -> Any:
         """Start a request; the answer of one that is cut half-way is lost."""
         return _CutRequest(self._session, self._cuts, method, url, options)
 
@@ -96,11 +96,11 @@
         session: aiohttp.ClientSession,
         cuts: Cuts,
         method: str,
-        url: str,
+        url: object,
         options: dict[str, Any],
     ) -> None:
         self._cuts = cuts
-        self._address = url.partition("://")[2].partition("/")[0]
+        self._address = str(url).partition("://")[2].partition("/")[0]
         self._request = session.request(method, url, **options)
 
     async def __aenter__(self) -> aiohttp.ClientResponse:
