--- a/agaterelay/adapters/http.py
+++ b/agaterelay/adapters/http.py
@@ -17,7 +17,8 @@
 from yarl import URL
 
 CONNECT_TIMEOUT_S = 0.5
-KEEPALIVE_S = 30.0
+# A node that stops listens for longer than callers keep connections without use.
+KEEP_ALIVE_S = 2.0
 MAX_ANSWER_BYTES = 4 << 20
 
 
@@ -64,7 +65,7 @@
 def open_session() -> aiohttp.ClientSession:
     """Return a session that never sends a request twice and follows no cookie."""
     return aiohttp.ClientSession(
-        connector=CleanConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
+        connector=CleanConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         middlewares=(_send_once,),
--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -3,17 +3,53 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
+from typing import Any
 
 import attrs
 
 from agaterelay.core.evidence import Evidence, Tally
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
-from agaterelay.core.messages import Brake, Exchange, NodeStatus, Notify
+from agaterelay.core.messages import (
+    Brake,
+    EventsReport,
+    EvidenceReport,
+    Exchange,
+    NodeStatus,
+    Notify,
+)
 from agaterelay.core.model import Head
-from agaterelay.core.timeline import Event, Stamp
+from agaterelay.core.timeline import Event, EventsQuery, Stamp
 from agaterelay.proto import peer_pb2 as pb
 
 PROTOCOL = 1
+MAX_TEXT_LENGTH = 4096
+MAX_NAME_LENGTH = 255
+MAX_ITEMS = 10_000
+MAX_UPSTREAMS = 64
+MAX_FIELDS_BYTES = 64 << 10
+# Sums of a few such numbers still fit the protocol's 64-bit integers.
+MAX_INTEGER = 1 << 62
+
+
+def _number(value: int) -> int:
+    if not 0 <= value < MAX_INTEGER:
+        raise ValueError(f"the number {value} is out of bounds")
+    return value
+
+
+def _text(value: str, most: int = MAX_NAME_LENGTH) -> str:
+    if len(value) > most:
+        raise ValueError(f"a text has {len(value)} letters, at most {most}")
+    if not value.isprintable():
+        raise ValueError("a text has control characters")
+    return value
+
+
+def _items(values: Sequence[Any], most: int = MAX_ITEMS) -> Sequence[Any]:
+    if len(values) > most:
+        raise ValueError(f"a list has {len(values)} items, at most {most}")
+    return values
 
 
 def stamp_to_wire(stamp: Stamp) -> pb.Stamp:
@@ -23,7 +59,7 @@
 
 def stamp_from_wire(message: pb.Stamp) -> Stamp:
     """Return the stamp of a message."""
-    return Stamp(message.wall_us, message.counter)
+    return Stamp(_number(message.wall_us), _number(message.counter))
 
 
 def head_to_wire(head: Head) -> pb.Revision:
@@ -33,7 +69,7 @@
 
 def head_from_wire(message: pb.Revision) -> Head:
     """Return the head of a message."""
-    return Head(message.number, message.digest)
+    return Head(_number(message.number), _text(message.digest))
 
 
 def member_to_wire(member: Member) -> pb.Member:
@@ -47,6 +83,7 @@
         region=member.region,
         calls_address=member.calls_address,
         operators_address=member.operators_address,
+        age_s=member.age_s,
         upstreams=[
             pb.Upstream(
                 service=item.service,
@@ -65,27 +102,30 @@
     """Return the member of a message.
 
     Raises:
-        ValueError: The message has an unknown state.
+        ValueError: A part of the message is out of bounds.
     """
+    if not message.host:
+        raise ValueError("a member without its host")
     return Member(
-        host=message.host,
-        zone=message.zone,
-        incarnation=message.incarnation,
-        sequence=message.sequence,
+        host=_text(message.host),
+        zone=_text(message.zone),
+        incarnation=_number(message.incarnation),
+        sequence=_number(message.sequence),
         state=MemberState(message.state),
-        region=message.region,
-        calls_address=message.calls_address,
-        operators_address=message.operators_address,
+        region=_text(message.region),
+        calls_address=_text(message.calls_address),
+        operators_address=_text(message.operators_address),
+        age_s=_number(message.age_s),
         upstreams=tuple(
             UpstreamInfo(
-                service=item.service,
-                version=item.version,
-                address=item.address,
-                slots=item.slots,
-                connections=item.connections,
+                service=_text(item.service),
+                version=_text(item.version),
+                address=_text(item.address),
+                slots=_number(item.slots),
+                connections=_number(item.connections),
                 draining=item.draining,
             )
-            for item in message.upstreams
+            for item in _items(message.upstreams, MAX_UPSTREAMS)
         ),
     )
 
@@ -100,10 +140,15 @@
     ]
 
 
-def brakes_from_wire(messages: object) -> tuple[Brake, ...]:
+def brakes_from_wire(messages: Sequence[Any]) -> tuple[Brake, ...]:
     """Return the brakes of messages."""
     return tuple(
-        Brake(item.move, item.reason, item.first_failure_ms) for item in messages
+        Brake(
+            _text(item.move),
+            _text(item.reason, MAX_TEXT_LENGTH),
+            _number(item.first_failure_ms),
+        )
+        for item in _items(messages)
     )
 
 
@@ -111,42 +156,48 @@
     """Return the request of an exchange."""
     return pb.ExchangeRequest(
         protocol=PROTOCOL,
-        stamp=stamp_to_wire(exchange.stamp),
-        sender=member_to_wire(exchange.sender),
-        revision=head_to_wire(exchange.revision),
-        updates=[member_to_wire(item) for item in exchange.updates],
-        brakes=brakes_to_wire(exchange.brakes),
         want_all=exchange.want_all,
+        fingerprint=exchange.fingerprint,
+        **_exchange_fields(exchange),
     )
 
 
 def exchange_to_reply(exchange: Exchange) -> pb.ExchangeReply:
     """Return the reply of an exchange."""
-    return pb.ExchangeReply(
-        stamp=stamp_to_wire(exchange.stamp),
-        sender=member_to_wire(exchange.sender),
-        revision=head_to_wire(exchange.revision),
-        updates=[member_to_wire(item) for item in exchange.updates],
-        brakes=brakes_to_wire(exchange.brakes),
-        floor=exchange.floor,
-    )
+    return pb.ExchangeReply(floor=exchange.floor, **_exchange_fields(exchange))
+
+
+def _exchange_fields(exchange: Exchange) -> dict[str, Any]:
+    return {
+        "stamp": stamp_to_wire(exchange.stamp),
+        "sender": exchange.sender,
+        "incarnation": exchange.pair[0],
+        "sequence": exchange.pair[1],
+        "revision": head_to_wire(exchange.revision),
+        "updates": [member_to_wire(item) for item in exchange.updates],
+        "brakes": brakes_to_wire(exchange.brakes),
+        "want_entry": exchange.want_entry,
+    }
 
 
 def exchange_from_wire(message: pb.ExchangeRequest | pb.ExchangeReply) -> Exchange:
     """Return the exchange of a request or a reply.
 
     Raises:
-        ValueError: The message has an unknown member state.
+        ValueError: A part of the message is out of bounds.
     """
     is_request = isinstance(message, pb.ExchangeRequest)
     return Exchange(
         stamp=stamp_from_wire(message.stamp),
-        sender=member_from_wire(message.sender),
+        sender=_text(message.sender),
+        pair=(_number(message.incarnation), _number(message.sequence)),
         revision=head_from_wire(message.revision),
-        updates=tuple(member_from_wire(item) for item in message.updates),
+        updates=tuple(member_from_wire(item) for item in _items(message.updates)),
         brakes=brakes_from_wire(message.brakes),
+        want_entry=message.want_entry,
         want_all=is_request and message.want_all,
-        floor=0 if is_request else message.floor,
+        fingerprint=tuple(_items(message.fingerprint)) if is_request else (),
+        floor=0 if is_request else _number(message.floor),
     )
 
 
@@ -165,8 +216,8 @@
     """Return the notification of a request."""
     return Notify(
         stamp=stamp_from_wire(message.stamp),
-        sender=message.sender,
-        origin=message.origin,
+        sender=_text(message.sender),
+        origin=_text(message.origin),
         revision=head_from_wire(message.revision),
     )
 
@@ -185,18 +236,57 @@
     ]
 
 
-def evidence_from_wire(messages: object) -> Evidence:
+def evidence_from_wire(messages: Sequence[Any]) -> Evidence:
     """Return the evidence of messages; tallies of another shape are left out."""
     size = len(Tally().latency_buckets)
     return {
-        (item.route, item.version): Tally(
-            item.calls, item.failures, tuple(item.latency_buckets)
+        (_text(item.route), _text(item.version)): Tally(
+            _number(item.calls),
+            _number(item.failures),
+            tuple(_number(count) for count in item.latency_buckets),
         )
-        for item in messages
+        for item in _items(messages)
         if len(item.latency_buckets) == size
     }
 
 
+def report_from_wire(message: pb.EvidenceReply) -> EvidenceReport:
+    """Return the evidence report of a reply.
+
+    Raises:
+        ValueError: A part of the message is out of bounds.
+    """
+    evidence = evidence_from_wire(message.routes)
+    return EvidenceReport(evidence, brakes_from_wire(message.brakes))
+
+
+def probe_from_wire(message: pb.ProbeForRequest) -> str:
+    """Return the host that a request asks to probe.
+
+    Raises:
+        ValueError: A part of the message is out of bounds.
+    """
+    return _text(message.host)
+
+
+def digests_from_wire(message: pb.FetchRequest) -> tuple[str, ...]:
+    """Return the digests that a request asks for.
+
+    Raises:
+        ValueError: A part of the message is out of bounds.
+    """
+    return tuple(_text(digest) for digest in _items(message.digests))
+
+
+def witness_from_wire(message: pb.WitnessRequest) -> tuple[str, int]:
+    """Return the host and the revision that a request tells of.
+
+    Raises:
+        ValueError: A part of the message is out of bounds.
+    """
+    return _text(message.host), _number(message.revision)
+
+
 def event_to_wire(event: Event) -> pb.Event:
     """Return the message of an event."""
     return pb.Event(
@@ -209,13 +299,61 @@
 
 
 def event_from_wire(message: pb.Event) -> Event:
-    """Return the event of a message."""
+    """Return the event of a message.
+
+    Raises:
+        ValueError: A part of the message is out of bounds.
+    """
+    if len(message.fields_json) > MAX_FIELDS_BYTES:
+        raise ValueError("the fields of an event are too large")
+    try:
+        fields = json.loads(message.fields_json)
+    except RecursionError as error:
+        raise ValueError("the fields of an event are nested too deeply") from error
+    if not isinstance(fields, dict):
+        raise ValueError("the fields of an event are not an object")
     return Event(
         stamp=stamp_from_wire(message.stamp),
-        host=message.host,
-        number=message.number,
-        name=message.name,
-        fields=json.loads(message.fields_json),
+        host=_text(message.host),
+        number=_number(message.number),
+        name=_text(message.name),
+        fields=fields,
+    )
+
+
+def events_from_wire(message: pb.EventsReply) -> EventsReport:
+    """Return the events of a reply.
+
+    Raises:
+        ValueError: A part of the message is out of bounds.
+    """
+    return EventsReport(tuple(event_from_wire(item) for item in _items(message.events)))
+
+
+def query_to_wire(query: EventsQuery) -> pb.EventsRequest:
+    """Return the request of a query for events."""
+    return pb.EventsRequest(
+        protocol=PROTOCOL,
+        after=stamp_to_wire(query.after),
+        most=query.most,
+        change=query.change,
+        revision=query.revision,
+        move=query.move,
+        request=query.request,
+        number=query.number,
+    )
+
+
+def query_from_wire(message: pb.EventsRequest) -> EventsQuery:
+    """Return the query of a request."""
+    return EventsQuery(
+        after=stamp_from_wire(message.after),
+        most=_number(message.most),
+        change=_text(message.change),
+        revision=_number(message.revision),
+        move=_text(message.move),
+        request=_text(message.request),
+        number=_number(message.number),
     )
 
 
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -13,12 +13,18 @@
 import attrs
 
 from agaterelay.adapters.clock import SystemClock
-from agaterelay.adapters.http import open_session
-from agaterelay.adapters.log import configure_log, make_recorder
+from agaterelay.adapters.http import KEEP_ALIVE_S, open_session
+from agaterelay.adapters.log import (
+    configure_log,
+    make_recorder,
+    record_library_warnings,
+)
 from agaterelay.adapters.metrics import Metrics
 from agaterelay.adapters.peers import PeerClient, PeerHandlers, start_peer_server
 from agaterelay.adapters.platform import PlatformClient
 from agaterelay.adapters.settings import Settings, load_settings
+from agaterelay.adapters.tls import load_credentials
+from agaterelay.core.health import forget_upstreams
 from agaterelay.core.keys import KeyWindow
 from agaterelay.core.membership import Member
 from agaterelay.core.messages import Notify
@@ -31,11 +37,7 @@
 from agaterelay.tasks.entry import Entry
 from agaterelay.tasks.gossip import (
     Gossip,
-    leave,
-    run_gossip,
     serve_exchange,
-    serve_probe_for,
-    set_own,
     set_upstreams,
 )
 from agaterelay.tasks.keeper import (
@@ -59,12 +61,23 @@
     start_operators_server,
 )
 from agaterelay.tasks.owner import Owner
+from agaterelay.tasks.probe import (
+    Prober,
+    leave,
+    run_news,
+    run_probes,
+    serve_probe_for,
+)
 from agaterelay.tasks.reader import run_reader
+from agaterelay.tasks.registry import Registry, run_registry
 from agaterelay.tasks.upstreams import Upstreams, run_upstreams
 
 PEER_TIMEOUT_S = 1.0
 RESTART_DELAY_S = 0.5
 IN_FLIGHT_POLL_S = 0.02
+LEAVE_GRACE_S = 0.5
+TIDY_PERIOD_S = 10.0
+LINGER_S = KEEP_ALIVE_S + 0.5
 EXIT_SETTINGS_INVALID = 2
 
 
@@ -86,6 +99,7 @@
     board: Board
     keeper: Keeper
     gossip: Gossip
+    prober: Prober
     upstreams: Upstreams
     owner: Owner
     entry: Entry
@@ -106,13 +120,12 @@
         timeline=timeline,
         record=make_recorder(timeline),
     )
-    incarnation = int(clock.now().timestamp() * 1000)
     board = Board(
         Member(
             host=settings.peers_address,
             zone=settings.zone,
-            incarnation=incarnation,
-            sequence=1,
+            incarnation=0,
+            sequence=0,
             region=settings.region,
             calls_address=settings.calls_address,
             operators_address=settings.operators_address,
@@ -120,14 +133,16 @@
     )
     keeper = Keeper(world, board)
     committer = Committer(world, board, keeper)
+    window = KeyWindow(0)
     gossip = Gossip(
         world,
         board,
         keeper,
         on_brakes=lambda brakes: take_brakes(board, world.record, brakes),
+        on_incarnation=lambda number: setattr(window, "incarnation", number),
     )
     upstreams = Upstreams(world, lambda infos: set_upstreams(gossip, infos))
-    owner = Owner(world, board, KeyWindow(incarnation), ports.session, upstreams.slots)
+    owner = Owner(world, board, window, ports.session, upstreams.slots)
     mover = Mover(world, board, owner, committer)
     metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
     return Node(
@@ -135,6 +150,7 @@
         board=board,
         keeper=keeper,
         gossip=gossip,
+        prober=Prober(gossip),
         upstreams=upstreams,
         owner=owner,
         entry=Entry(world, board, owner, ports.session),
@@ -158,11 +174,20 @@
         fetch=lambda digests: serve_fetch(node.keeper, digests),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
         evidence=lambda move: serve_evidence(node.mover, move),
-        events=lambda after, most: own_events(node.world, after, most),
+        events=lambda query: own_events(node.world, query),
         status=lambda: own_status(node.board),
     )
 
 
+async def tidy_health(node: Node) -> None:
+    """Forget what calls showed of upstreams that are gone, until cancelled."""
+    while True:
+        await node.world.clock.sleep(TIDY_PERIOD_S)
+        members = node.board.members.values()
+        known = [item.address for member in members for item in member.upstreams]
+        forget_upstreams(node.entry.health, known)
+
+
 async def supervise(node: Node, name: str, start: Any) -> None:
     """Run a task; where it fails, record that and start it again."""
     while True:
@@ -195,11 +220,14 @@
     )
     await platform.open()
     session = open_session()
-    peers = PeerClient(PEER_TIMEOUT_S)
+    tls = load_credentials(settings.tls) if settings.tls else None
+    peers = PeerClient(PEER_TIMEOUT_S, tls.channel if tls else None)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
-    set_own(node.gossip, node.board.own)
     stopping = _stop_signal()
-    peer_server = await start_peer_server(settings.peers_address, peer_handlers(node))
+    record_library_warnings(node.world.record)
+    peer_server = await start_peer_server(
+        settings.peers_address, peer_handlers(node), tls.server if tls else None
+    )
     operators = await start_operators_server(node.operators, settings.operators_address)
     calls = await start_calls_server(node.entry, settings.calls_address)
     node.world.record(EventKind.NODE_STARTED, zone=settings.zone)
@@ -230,8 +258,11 @@
     starts: dict[str, Any] = {
         "keeper": lambda: run_keeper(node.keeper),
         "reader": lambda: run_reader(node.world, node.board, node.keeper),
-        "gossip": lambda: run_gossip(node.gossip),
+        "registry": lambda: run_registry(Registry(node.gossip)),
+        "probes": lambda: run_probes(node.prober),
+        "news": lambda: run_news(node.prober),
         "upstreams": lambda: run_upstreams(node.upstreams),
+        "health": lambda: tidy_health(node),
         "brakes": lambda: run_brakes(node.mover),
         "mover": lambda: run_mover(node.mover),
     }
@@ -242,13 +273,23 @@
 
 
 async def stop_gracefully(node: Node) -> None:
-    """Leave the fleet, refuse new work, and finish what is in flight."""
+    """Leave the fleet, refuse new work, and finish what is in flight.
+
+    Calls that peers send before they hear of it are still served for a while. After
+    that the listener stays for as long as callers keep idle connections, so that they
+    are told that a call did not run, and never find a connection reset.
+    """
+    clock = node.world.clock
     node.world.record(EventKind.NODE_STOPPING)
+    await leave(node.prober)
+    await clock.sleep(LEAVE_GRACE_S)
     node.board.stopping = True
-    await leave(node.gossip)
-    deadline_s = node.world.clock.monotonic_s() + node.world.settings.drain_s
-    while node.owner.in_flight and node.world.clock.monotonic_s() < deadline_s:
-        await node.world.clock.sleep(IN_FLIGHT_POLL_S)
+    linger_until_s = clock.monotonic_s() + LINGER_S
+    deadline_s = clock.monotonic_s() + node.world.settings.drain_s
+    while clock.monotonic_s() < linger_until_s or (
+        node.owner.in_flight and clock.monotonic_s() < deadline_s
+    ):
+        await clock.sleep(IN_FLIGHT_POLL_S)
 
 
 def run(settings_path: Path) -> int:
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -20,6 +20,7 @@
     refusal_headers,
 )
 from agaterelay.core.keys import parse_key
+from agaterelay.core.membership import MemberState
 from agaterelay.core.model import Priority
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.core.retry import parse_retries
@@ -118,6 +119,8 @@
         entry.owner.in_flight -= 1
     _note(entry, request, outcome)
     response = respond(outcome)
+    if entry.board.own.state is MemberState.LEFT:
+        response.force_close()
     if HOP_HEADER in request.headers:
         response.headers[LOAD_HEADER] = str(_in_flight(entry, request))
     return response
--- /dev/null
+++ b/agaterelay/tasks/operators/moves.py
@@ -0,0 +1,63 @@
+"""Endpoints on moves: read them, take one back."""
+
+from __future__ import annotations
+
+import attrs
+from aiohttp import web
+
+from agaterelay.core.manifest import plain
+from agaterelay.core.model import FINAL_MOVE_STATES, MoveState, Snapshot
+from agaterelay.ports import PlatformError
+from agaterelay.tasks.committer import commit_move
+from agaterelay.tasks.operators.requests import Operators, key_is_of, key_of, refuse
+
+
+async def show_moves(operators: Operators, _: web.Request) -> web.Response:
+    """Return how far every move has come."""
+    snapshot = operators.board.active
+    moves = [plain(item) for item in snapshot.manifest.moves] if snapshot else []
+    brakes = [attrs.asdict(item) for item in operators.board.brakes.values()]
+    revision = snapshot.revision if snapshot else 0
+    return web.json_response({"revision": revision, "moves": moves, "brakes": brakes})
+
+
+async def take_back(operators: Operators, request: web.Request) -> web.Response:
+    """Take a move back at its owner's word."""
+    snapshot = operators.board.active
+    name = request.match_info["name"]
+    progress = snapshot.progress.get(name) if snapshot else None
+    if progress is None:
+        return refuse(404, "unknown-move", "there is no such move")
+    owner = _owner_of_move(snapshot, name)
+    if not key_is_of(operators, key_of(request), owner):
+        message = f"move {name!r} belongs to owner {owner!r}, and the key is not theirs"
+        return refuse(403, "forbidden", message)
+    if progress.state in FINAL_MOVE_STATES:
+        message = f"move {name!r} is {progress.state} already"
+        return refuse(409, "finished", message)
+    now = operators.world.clock.now()
+    taken_back = attrs.evolve(
+        progress,
+        state=MoveState.REVERTED,
+        share_permille=0,
+        reason="taken back by an operator",
+        finished_at=now,
+    )
+    change_id = f"{name}:{snapshot.revision}:take-back"
+    note = f"{name} taken back by an operator"
+    try:
+        record = await commit_move(operators.committer, taken_back, change_id, note)
+    except PlatformError as error:
+        message = f"it is not known whether the move was taken back: {error}"
+        return refuse(503, "platform", message)
+    if record is None:
+        message = f"move {name!r} is not open any more"
+        return refuse(409, "finished", message)
+    return web.json_response(plain(record))
+
+
+def _owner_of_move(snapshot: Snapshot, move: str) -> str:
+    for section in snapshot.sections:
+        if any(item.name == move for item in section.moves):
+            return section.owner
+    return ""
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -52,6 +52,8 @@
     traffic: callers.Traffic | None = None
     revisions: dict[str, list[int]] = attrs.field(factory=lambda: defaultdict(list))
     sampling: threading.Event = attrs.field(factory=threading.Event)
+    finish_within_s: float = 0.0
+    race: list = attrs.field(factory=list)
 
     def host(self, number):
         return self.running.hosts[int(number) - 1]
@@ -228,5 +230,5 @@
 @then("no call was lost, doubled, crossed or falsely refused")
 def _no_problems(site):
     callers.stop_traffic(site.traffic)
-    runs = callers.count_runs(callers.all_upstreams(site.running))
+    runs = callers.count_runs(site.running)
     assert callers.find_problems(site.traffic, runs) == []
