--- a/tests/core/test_keys.py
+++ b/tests/core/test_keys.py
@@ -149,9 +149,7 @@
 
 
 TestKeys = KeyMachine.TestCase
-TestKeys.settings = settings(
-    derandomize=True, max_examples=400, stateful_step_count=40, deadline=None
-)
+TestKeys.settings = settings(max_examples=400, stateful_step_count=40)
 
 
 def claimed_key(window):
--- a/tests/core/test_retry.py
+++ b/tests/core/test_retry.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from agaterelay.core.outcome import Answered, NotRun, Unknown
 from agaterelay.core.retry import (
@@ -32,14 +32,12 @@
 
 
 @given(depth=st.integers(1, 14), text=st.text(max_size=4))
-@settings(derandomize=True)
 def test_a_chain_of_calls_does_not_multiply_retries(depth, text):
     runs = runs_at_the_end(depth, parse_retries(text))
     assert runs <= 1 + MAX_RETRIES * depth
 
 
 @given(st.lists(st.booleans(), max_size=500))
-@settings(derandomize=True)
 def test_a_node_retries_no_more_than_its_calls_earned(steps):
     tokens = RetryTokens()
     retries = calls = 0
@@ -53,7 +51,6 @@
 
 
 @given(deadline_s=st.floats(0, 1e6), now_s=st.floats(0, 1e6))
-@settings(derandomize=True)
 def test_a_deadline_only_gets_shorter(deadline_s, now_s):
     assert 0 <= shortened_ms(deadline_s, now_s) <= max((deadline_s - now_s) * 1000, 0)
 
