--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -13,6 +13,7 @@
 import attrs
 
 from agaterelay.adapters.clock import SystemClock
+from agaterelay.adapters.http import KEEP_ALIVE_S, open_session
 from agaterelay.adapters.log import (
     configure_log,
     make_recorder,
@@ -23,7 +24,6 @@
 from agaterelay.adapters.platform import PlatformClient
 from agaterelay.adapters.settings import Settings, load_settings
 from agaterelay.adapters.tls import load_credentials
-from agaterelay.client import KEEP_ALIVE_S
 from agaterelay.core.health import forget_upstreams
 from agaterelay.core.keys import KeyWindow
 from agaterelay.core.membership import Member
@@ -74,7 +74,6 @@
 
 PEER_TIMEOUT_S = 1.0
 RESTART_DELAY_S = 0.5
-UPSTREAM_CONNECTIONS = 130
 IN_FLIGHT_POLL_S = 0.02
 LEAVE_GRACE_S = 0.5
 TIDY_PERIOD_S = 10.0
@@ -221,10 +220,7 @@
         settings.table_url, settings.objects_url, settings.platform_timeout_s
     )
     await platform.open()
-    connector = aiohttp.TCPConnector(
-        limit=0, limit_per_host=UPSTREAM_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S
-    )
-    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    session = open_session()
     tls = load_credentials(settings.tls) if settings.tls else None
     peers = PeerClient(PEER_TIMEOUT_S, tls.channel if tls else None)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
