--- a/agaterelay/cli/main.py
+++ b/agaterelay/cli/main.py
@@ -20,7 +20,7 @@
         sys.exit(run_node_command(arguments[1:]))
     from agaterelay.cli.commands import run_command
 
-    run_command(arguments)
+    sys.exit(run_command(arguments))
 
 
 def run_node_command(arguments: list[str]) -> int:
--- /dev/null
+++ b/agaterelay/cli/outcome.py
@@ -0,0 +1,86 @@
+"""How a command ends: its exit statuses, its errors, and what it prints."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import Any
+
+from agaterelay.core.model import Finding
+
+
+class Exit(IntEnum):
+    """The exit statuses of all commands; ``docs/OPERATORS.md`` explains them."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    FINDINGS = 3
+    FORBIDDEN = 4
+    LOST_RACE = 5
+    PLATFORM_UNREACHABLE = 6
+    NODE_UNREACHABLE = 7
+    NOT_IN_FORCE = 8
+    NOT_FOUND = 9
+
+
+class CommandError(Exception):
+    """A command cannot do what was asked; ``details`` is for programs."""
+
+    def __init__(
+        self, code: Exit, message: str, details: dict[str, Any] | None = None
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.details = details or {}
+
+
+class FindingsError(CommandError):
+    """The document has findings; nothing was sent."""
+
+    def __init__(self, findings: Iterable[Finding], where: str) -> None:
+        findings = tuple(findings)
+        lines = "\n".join(map(str, findings))
+        message = f"{lines}\n{len(findings)} finding(s) {where}; nothing was sent"
+        details = {"findings": [plain_finding(finding) for finding in findings]}
+        super().__init__(Exit.FINDINGS, message, details)
+
+
+def plain_finding(finding: Finding) -> dict[str, Any]:
+    """Return a finding as JSON can hold it."""
+    return {
+        "filename": finding.place.filename,
+        "line": finding.place.line,
+        "column": finding.place.column,
+        "section": finding.section,
+        "message": finding.message,
+    }
+
+
+def show(value: Any, as_json: bool, lines: Iterable[str]) -> None:
+    """Print a result, as JSON or as lines of text."""
+    if as_json:
+        print(json.dumps(value, indent=2))
+        return
+    for line in lines:
+        print(line)
+
+
+def report_progress(text: str) -> None:
+    """Print a line about what a command waits for, on standard error."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def table(rows: Iterable[tuple[Any, ...]]) -> list[str]:
+    """Return rows as lines whose columns are aligned."""
+    texts = [tuple(str(cell) for cell in row) for row in rows]
+    widths = [max(map(len, column)) for column in zip(*texts, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in texts
+    ]
