Show a node's metrics by Prometheus' conventions, with units

Cause: only three metrics existed and the two on calls were never counted. Change: calls by route and outcome, refusals by reason (bounded), hops, duration, messages and bytes between nodes by method; readings at scrape time: revisions, convergence, platform, members, calls in flight and queued, slots, move shares, brakes; process and platform collectors. tasks/observe.py counts outside of the call's own code.

--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -54,6 +54,7 @@
     serve_evidence,
     take_brakes,
 )
+from agaterelay.tasks.observe import make_observer, read_node
 from agaterelay.tasks.operators import (
     Operators,
     own_events,
@@ -145,7 +146,7 @@
     upstreams = Upstreams(world, lambda infos: set_upstreams(gossip, infos))
     owner = Owner(world, board, window, ports.session, upstreams.slots)
     mover = Mover(world, board, owner, committer)
-    metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
+    metrics = Metrics(lambda: read_node(board, owner))
     return Node(
         world=world,
         board=board,
@@ -233,7 +234,9 @@
         settings.peers_address, peer_handlers(node), tls.server if tls else None
     )
     operators = await start_operators_server(node.operators, settings.operators_address)
-    calls = await start_calls_server(node.entry, settings.calls_address)
+    peers.count = node.operators.metrics.count_peer_message
+    observe = make_observer(node.world, node.board, node.operators.metrics)
+    calls = await start_calls_server(node.entry, settings.calls_address, observe)
     node.world.record(EventKind.NODE_STARTED, zone=settings.zone)
     tasks = _start_tasks(node)
     await stopping.wait()
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -158,15 +159,24 @@
     )
 
 
-async def start_calls_server(entry: Entry, address: str) -> web.ServerRunner:
-    """Start to serve callers.
+async def start_calls_server(
+    entry: Entry,
+    address: str,
+    observe: Callable[[web.BaseRequest, web.Response, float], None] = (
+        lambda request, response, elapsed_s: None
+    ),
+) -> web.ServerRunner:
+    """Start to serve callers; every response is shown to ``observe``.
 
     Raises:
         OSError: The address cannot be bound.
     """
 
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
-        return await handle(entry, request)
+        started_s = entry.world.clock.monotonic_s()
+        response = await handle(entry, request)
+        observe(request, response, entry.world.clock.monotonic_s() - started_s)
+        return response
 
     runner = web.ServerRunner(web.Server(serve, access_log=None))
     await runner.setup()
--- /dev/null
+++ b/agaterelay/tasks/observe.py
@@ -0,0 +1,100 @@
+"""What a node shows of itself: its metrics' readings, and how each call ended."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from aiohttp import web
+
+from agaterelay.adapters.metrics import Metrics, Readings
+from agaterelay.core.model import FINAL_MOVE_STATES
+from agaterelay.core.routing import match_route
+from agaterelay.events import EventKind
+from agaterelay.tasks.board import Board, World
+from agaterelay.tasks.entry import HOP_HEADER, OUTCOME_HEADER, REASON_HEADER
+from agaterelay.tasks.owner import Owner
+
+NO_ROUTE = "none"
+ANSWERED = "answered"
+NOT_SERVED = "not-served"
+SERVER_ERROR_STATUS = 500
+MAX_ID_LENGTH = 128
+
+# Is told of a request, its response, and the seconds between them.
+Observer = Callable[[web.BaseRequest, web.Response, float], None]
+
+
+def read_node(board: Board, owner: Owner) -> Readings:
+    """Return a node's present values."""
+    slots: Counter[str] = Counter()
+    in_use: Counter[str] = Counter()
+    for item in owner.slots.values():
+        slots[item.info.service] += item.info.slots
+        in_use[item.info.service] += item.in_flight
+    states = Counter(member.state.name.lower() for member in board.members.values())
+    return Readings(
+        active_revision=board.active.revision if board.active else 0,
+        held_revision=board.held.revision,
+        convergence_s=_convergence_s(board),
+        platform_up=board.platform_up,
+        members=states,
+        calls_in_flight=owner.in_flight,
+        calls_queued=len(getattr(owner, "waiting", ())),
+        slots=slots,
+        slots_in_use=in_use,
+        move_shares=_move_shares(board),
+        brakes=len(board.brakes),
+    )
+
+
+def _convergence_s(board: Board) -> float:
+    """Return how long after its commit the active revision was served here."""
+    if board.active is None:
+        return 0.0
+    committed_s = board.active.manifest.committed_at.timestamp()
+    return max(board.activated_ms / 1000 - committed_s, 0.0)
+
+
+def _move_shares(board: Board) -> dict[str, float]:
+    moves = board.active.progress.values() if board.active else ()
+    return {
+        progress.name: progress.share_permille / 1000
+        for progress in moves
+        if progress.state not in FINAL_MOVE_STATES
+    }
+
+
+def make_observer(world: World, board: Board, metrics: Metrics) -> Observer:
+    """Return a function that counts calls and records those that failed."""
+
+    def observe(
+        request: web.BaseRequest, response: web.Response, elapsed_s: float
+    ) -> None:
+        headers = response.headers
+        outcome = headers.get(OUTCOME_HEADER, NOT_SERVED)
+        if HOP_HEADER in request.headers:
+            metrics.count_hop(outcome)
+            return
+        route = _route_of(board, request)
+        metrics.count_call(route, outcome, elapsed_s)
+        if outcome not in (ANSWERED, NOT_SERVED):
+            metrics.count_refusal(headers.get(REASON_HEADER, ""))
+        elif outcome == ANSWERED and response.status >= SERVER_ERROR_STATUS:
+            world.record(
+                EventKind.CALL_FAILED,
+                request_id=request.headers.get("Request-Id", "")[:MAX_ID_LENGTH],
+                route=route,
+                status=response.status,
+                elapsed_ms=round(elapsed_s * 1000, 1),
+            )
+
+    return observe
+
+
+def _route_of(board: Board, request: web.BaseRequest) -> str:
+    snapshot = board.active
+    if snapshot is None:
+        return NO_ROUTE
+    route = match_route(snapshot, request.method, request.path)
+    return route.name if route is not None else NO_ROUTE
