Connect at once to a host that came back; let callers avoid nodes that stop

Cause 1: a host replaced at the same address was suspected right after it had joined. Its neighbours' channels were still in gRPC's reconnect backoff (up to 2 s) from its predecessor's death, so their probes failed without a packet. Ruled out: a late answer of the new process (its log shows no probe). Change: a channel that found nobody is dropped, the next call connects at once; whoever calls has its own backoff.

Cause 2: in the rolling restart some calls ended as not run, 'the node cannot be reached': with a third of the nodes away a caller spends a third of a retry a call and earns a tenth, so its allowance runs out within seconds. Change: a node that cannot be reached or answers Connection: close is used last for 1 s.

--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -49,9 +49,12 @@
 
 @attrs.define
 class _Link:
+    """A channel and the calls under way on it; ``broken`` where one found nobody."""
+
     channel: grpc.aio.Channel
     stub: peer_pb2_grpc.PeerStub
     calls: int = 0
+    broken: bool = False
 
 
 class PeerClient:
@@ -94,9 +97,21 @@
         idle = [host for host, link in self._links.items() if not link.calls]
         surplus = len(self._links) + 1 - self._most_channels
         for host in idle[: max(surplus, 0)]:
-            task = asyncio.create_task(self._links.pop(host).channel.close())
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+            self._close(self._links.pop(host))
+
+    def _close(self, link: _Link) -> None:
+        task = asyncio.create_task(link.channel.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _give_up(self, host: str, link: _Link) -> None:
+        """Make the next call to a host connect at once, not after a backoff.
+
+        Whoever calls has a backoff of its own, and a host may be back in a moment.
+        """
+        link.broken = True
+        if self._links.get(host) is link:
+            del self._links[host]
 
     async def _call(
         self,
@@ -119,12 +134,16 @@
         except grpc.aio.AioRpcError as error:
             self.count(method, request.ByteSize(), 0)
             code = error.code()
+            if code is grpc.StatusCode.UNAVAILABLE:
+                self._give_up(host, link)
             message = f"{method} to {host}: {code.name}"
             raise PeerError(message, reached=code in _REACHED) from error
         except ValueError as error:
             raise PeerError(f"{method} to {host}: {error}", reached=True) from error
         finally:
             link.calls -= 1
+            if link.broken and not link.calls:
+                self._close(link)
 
     async def exchange(self, host: str, exchange: Exchange) -> Exchange:
         """Probe a host and exchange views."""
--- a/agaterelay/client.py
+++ b/agaterelay/client.py
@@ -44,6 +44,8 @@
 KEY_TIMEOUT_S = 0.5
 # A try leaves a part of the time to another one, in case its node hangs.
 TRY_SHARE = 0.5
+# How long a node that stops, or cannot be reached, is only used for want of others.
+AVOID_S = 1.0
 
 
 @attrs.frozen
@@ -74,6 +76,7 @@
         self._timeout_s = timeout_s
         self._draw = draw or random.Random()
         self._tokens = RetryTokens()
+        self._avoid_until_s: dict[str, float] = {}
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Caller:
@@ -104,7 +107,7 @@
         deadline_s = time.monotonic() + self._timeout_s
         request_id = request_id or str(uuid.uuid4())
         request = _Request(method, path, body, request_id, deadline_s)
-        nodes = self._draw.sample(self._nodes, len(self._nodes))
+        nodes = self._order_nodes()
         earn(self._tokens)
         outcome: Outcome = NotRun("no node was tried")
         for attempt in range(MAX_RETRIES + 1):
@@ -121,11 +124,20 @@
                 return outcome
         return outcome
 
+    def _order_nodes(self) -> list[str]:
+        """Return all nodes in random order, those to be avoided last."""
+        now_s = time.monotonic()
+        nodes = self._draw.sample(self._nodes, len(self._nodes))
+        return sorted(nodes, key=lambda node: self._avoid_until_s.get(node, 0) > now_s)
+
+    def _avoid(self, node: str) -> None:
+        self._avoid_until_s[node] = time.monotonic() + AVOID_S
+
     async def mint_keys(
         self, method: str, path: str, count: int = 1
     ) -> tuple[str, ...]:
         """Return new keys for calls of a route, none where no node gives any."""
-        for node in self._draw.sample(self._nodes, len(self._nodes)):
+        for node in self._order_nodes():
             keys = await self._ask_for_keys(node, method, path, count)
             if keys:
                 return keys
@@ -151,7 +163,7 @@
             request_id or str(uuid.uuid4()),
             time.monotonic() + self._timeout_s,
         )
-        nodes = self._draw.sample(self._nodes, len(self._nodes))
+        nodes = self._order_nodes()
         return (await self._repeat(nodes, request, key))[-1]
 
     async def _send_with_new_key(self, nodes: list[str], request: _Request) -> Outcome:
@@ -187,6 +199,7 @@
                 self._session, "POST", node, KEYS_PATH + query, b"", (), KEY_TIMEOUT_S
             )
         except (NotSentError, AnswerLostError):
+            self._avoid(node)
             return ()
         if answer.status != 200:
             return ()
@@ -214,8 +227,11 @@
                 timeout_s,
             )
         except NotSentError:
+            self._avoid(node)
             reason = "the node cannot be reached"
             return Unknown(reason, sent=False) if key else NotRun(reason)
         except AnswerLostError as error:
             return Unknown(f"the answer was lost: {error}")
+        if answer.headers.get("Connection", "").lower() == "close":
+            self._avoid(node)
         return outcome_of(answer, request.request_id)
