--- a/standins/faulty_node.py
+++ b/standins/faulty_node.py
@@ -3,6 +3,7 @@
 ``PUT /cuts`` on the fault address takes a list of address prefixes that this node
 cannot reach; every connection to them fails, and calls under way to them are lost.
 Both ends of a full cut are told; telling one end alone makes an asymmetric cut.
+``PUT /lost-answers`` takes a number of answers over HTTP that will be lost.
 """
 
 from __future__ import annotations
@@ -25,10 +26,11 @@
 
 
 class Cuts:
-    """The address prefixes that are out of reach."""
+    """The address prefixes that are out of reach, and how many answers to lose."""
 
     def __init__(self) -> None:
         self.prefixes: tuple[str, ...] = ()
+        self.lost_answers = 0
 
     def covers(self, address: str) -> bool:
         """Return whether an address is out of reach."""
@@ -110,7 +112,9 @@
             await asyncio.sleep(1.0)
             raise aiohttp.ServerTimeoutError("cut")
         response = await self._request.__aenter__()
-        if self._cuts.covers(self._address):
+        lost = self._cuts.lost_answers > 0
+        self._cuts.lost_answers -= lost
+        if lost or self._cuts.covers(self._address):
             response.close()
             raise aiohttp.ServerDisconnectedError("cut")
         return response
@@ -138,8 +142,13 @@
         cuts.prefixes = tuple(await request.json())
         return web.json_response({})
 
+    async def set_lost_answers(request: web.Request) -> web.Response:
+        cuts.lost_answers = await request.json()
+        return web.json_response({})
+
     application = web.Application()
     application.router.add_put("/cuts", set_cuts)
+    application.router.add_put("/lost-answers", set_lost_answers)
     runner = web.AppRunner(application, access_log=None)
     await runner.setup()
     host = settings.peers_address.rsplit(":", 1)[0]
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -17,6 +17,7 @@
 from standins.deployment import (
     ADMIN_KEY,
     Deployment,
+    HostProcesses,
     cut_zone,
     deployment,
     fetch,
@@ -54,6 +55,11 @@
     sampling: threading.Event = attrs.field(factory=threading.Event)
     finish_within_s: float = 0.0
     race: list = attrs.field(factory=list)
+    key: str = ""
+    request_id: str = ""
+    home: HostProcesses | None = None
+    outcomes: list = attrs.field(factory=list)
+    told: dict = attrs.field(factory=dict)
 
     def host(self, number):
         return self.running.hosts[int(number) - 1]
