--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -55,8 +55,10 @@
 )
 from agaterelay.core.routing import (
     Target,
+    TargetIndex,
     choose_target,
     choose_version,
+    indexed_targets,
     match_route,
     targets_of,
     version_shares,
@@ -93,6 +95,7 @@
     draw: random.Random = attrs.field(factory=random.Random)
     in_flight: dict[str, int] = attrs.field(factory=dict)
     health: Health = attrs.field(factory=Health)
+    index: TargetIndex = attrs.field(factory=TargetIndex)
     tokens: RetryTokens = attrs.field(factory=RetryTokens)
     events: int = 0
     events_second: int = 0
@@ -239,14 +242,23 @@
     for name in [version, *(item for item in shares if item != version)]:
         targets = [
             target
-            for target in targets_of(
-                entry.board.members, route.service, name, entry.board.out_of_reach
+            for target in indexed_targets(
+                entry.index,
+                entry.board.members,
+                route.service,
+                name,
+                entry.board.out_of_reach,
             )
             if target.upstream.address not in tried
         ]
         now_s = entry.world.clock.monotonic_s()
         usable = usable_targets(
-            entry.health, targets, now_s, route.idempotent, entry.draw
+            entry.health,
+            targets,
+            entry.board.own,
+            now_s,
+            route.idempotent,
+            entry.draw,
         )
         chosen = choose_target(
             usable, entry.board.own, lambda target: _load(entry, target), entry.draw
