--- a/agaterelay/client.py
+++ b/agaterelay/client.py
@@ -4,6 +4,10 @@
 the same key is sent through another node, and the key's home tells what became of the
 call or that nobody can know. A new key is taken only where the old one certainly did
 not run and never will.
+
+With ``direct`` the library learns the routes and upstreams from a node, chooses the
+upstream in the caller's process, and sends each call straight to the node that owns
+it, which saves the hop between nodes.
 """
 
 from __future__ import annotations
@@ -17,6 +21,7 @@
 import aiohttp
 import attrs
 
+from agaterelay.adapters.clock import SystemClock
 from agaterelay.adapters.http import (
     AnswerLostError,
     NotSentError,
@@ -39,8 +44,16 @@
     may_retry,
     spend,
 )
+from agaterelay.core.route_view import parse_view, snapshot_of
+from agaterelay.core.routing import match_route
+from agaterelay.tasks.board import Board
+from agaterelay.tasks.entry import Entry, Request, handle_request, mint_keys
 
 KEYS_PATH = "/agaterelay/v1/keys"
+ROUTES_PATH = "/agaterelay/v1/routes"
+ROUTES_PERIOD_S = 0.5
+# Older routes may still send work to a version that was taken back.
+ROUTES_MAX_AGE_S = 2.0
 KEY_TIMEOUT_S = 0.5
 # A try leaves a part of the time to another one, in case its node hangs.
 TRY_SHARE = 0.5
@@ -62,6 +75,7 @@
         nodes: The callers' addresses of the nodes, each as HOST:PORT.
         timeout_s: The time that a call may take with all its tries, in seconds.
         draw: The source of chance.
+        direct: Whether to send calls straight to the owners of upstreams.
     """
 
     def __init__(
@@ -69,21 +83,71 @@
         nodes: tuple[str, ...],
         timeout_s: float = 2.0,
         draw: random.Random | None = None,
+        direct: bool = False,
     ) -> None:
         self._nodes = nodes
         self._timeout_s = timeout_s
         self._draw = draw or random.Random()
         self._tokens = RetryTokens()
+        self._direct = direct
         self._session: aiohttp.ClientSession | None = None
+        self._entry: Entry | None = None
+        self._routes_s = 0.0
+        self._refresher: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Caller:
         self._session = open_session()
+        if self._direct:
+            await self._learn_routes()
+            self._refresher = asyncio.create_task(self._refresh_routes())
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        if self._refresher is not None:
+            self._refresher.cancel()
+            await asyncio.gather(self._refresher, return_exceptions=True)
         if self._session is not None:
             await self._session.close()
 
+    async def _refresh_routes(self) -> None:
+        while True:
+            await asyncio.sleep(ROUTES_PERIOD_S * self._draw.uniform(0.75, 1.25))
+            await self._learn_routes()
+
+    async def _learn_routes(self) -> None:
+        """Take over a node's view; where it gives none, the old one ages."""
+        node = self._draw.choice(self._nodes)
+        asked_s = time.monotonic()
+        try:
+            answer = await send_once(
+                self._session, "GET", node, ROUTES_PATH, b"", (), KEY_TIMEOUT_S
+            )
+        except (NotSentError, AnswerLostError):
+            return
+        if answer.status != 200:
+            return
+        view = parse_view(json.loads(answer.body))
+        if view is None:
+            return
+        if self._entry is None:
+            own = attrs.evolve(view.own, host="")
+            self._entry = Entry(SystemClock(), Board(own), None, self._session)
+        board = self._entry.board
+        if board.active is not None and board.active.revision > view.manifest.revision:
+            return
+        board.active = snapshot_of(view)
+        board.members = {item.host: item for item in view.members}
+        board.brakes = dict.fromkeys(view.braked, None)
+        self._routes_s = asked_s
+
+    def _own_entry(self, method: str, path: str) -> Entry | None:
+        """Return the entry of this process, None where a node has to route the call."""
+        entry = self._entry
+        if entry is None or time.monotonic() - self._routes_s > ROUTES_MAX_AGE_S:
+            return None
+        known = match_route(entry.board.active, method, path.partition("?")[0])
+        return None if known is None else entry
+
     async def call(
         self,
         method: str,
@@ -181,6 +245,10 @@
     async def _ask_for_keys(
         self, node: str, method: str, path: str, count: int
     ) -> tuple[str, ...]:
+        entry = self._own_entry(method, path)
+        if entry is not None:
+            keys = mint_keys(entry, method, path.partition("?")[0], count)
+            return tuple(map(str, keys or ()))
         query = f"?method={method}&path={path.partition('?')[0]}&count={count}"
         try:
             answer = await send_once(
@@ -197,6 +265,9 @@
         if left_s <= 0:
             return Unknown("the deadline has passed", sent=False)
         timeout_s = max(left_s * TRY_SHARE, min(left_s, KEY_TIMEOUT_S))
+        entry = self._own_entry(request.method, request.path)
+        if entry is not None:
+            return await _send_directly(entry, request, key, timeout_s)
         headers = [
             (REQUEST_ID_HEADER, request.request_id),
             (DEADLINE_HEADER, str(max(int(timeout_s * 1000), 1))),
@@ -219,3 +290,23 @@
         except AnswerLostError as error:
             return Unknown(f"the answer was lost: {error}")
         return outcome_of(answer, request.request_id)
+
+
+async def _send_directly(
+    entry: Entry, request: _Request, key: str, timeout_s: float
+) -> Outcome:
+    """Route a call in this process; this library's own tries are its only retries."""
+    return await handle_request(
+        entry,
+        Request(
+            method=request.method,
+            path=request.path.partition("?")[0],
+            raw_path=request.path,
+            headers=(),
+            body=request.body,
+            request_id=request.request_id,
+            timeout_ms=max(int(timeout_s * 1000), 1),
+            key=key,
+            retries_left="0",
+        ),
+    )
--- a/agaterelay/core/admission.py
+++ b/agaterelay/core/admission.py
@@ -21,6 +21,8 @@
 QUEUE_PER_SLOT = 4
 FIRST_WORK_S = 0.01
 WORK_SMOOTHING = 0.1
+# Nearly all calls end within their mean time and so many mean deviations.
+DEVIATIONS = 3.0
 # Waiting for more than a part of the time left leaves none for the work's spread.
 WAIT_SHARE = 0.7
 
@@ -86,10 +88,16 @@
         factory=lambda: {priority: deque() for priority in Priority}
     )
     work_s: float = FIRST_WORK_S
+    deviation_s: float = 0.0
 
     def __len__(self) -> int:
         return sum(map(len, self.waiting.values()))
 
+    @property
+    def needed_s(self) -> float:
+        """The time that nearly every call ends in, once it has a slot."""
+        return self.work_s + DEVIATIONS * self.deviation_s
+
 
 @attrs.define
 class Admission:
@@ -131,7 +139,7 @@
     limit = sum(limit_of(item, now_s) for item in usable)
     ahead = _ahead(queue, ticket.priority)
     wait_s = (ahead + 1) * queue.work_s / limit
-    if wait_s + queue.work_s > (ticket.deadline_s - now_s) * WAIT_SHARE:
+    if wait_s + queue.needed_s > (ticket.deadline_s - now_s) * WAIT_SHARE:
         return Refused("the queue is longer than the deadline", round(wait_s, 3))
     evicted = None
     if len(queue) >= QUEUE_PER_SLOT * limit:
@@ -151,7 +159,9 @@
 def note_work(admission: Admission, ticket: Ticket, elapsed_s: float) -> None:
     """Count how long a call took in its slot."""
     queue = _queue_of(admission, ticket)
-    queue.work_s += WORK_SMOOTHING * (elapsed_s - queue.work_s)
+    error_s = elapsed_s - queue.work_s
+    queue.work_s += WORK_SMOOTHING * error_s
+    queue.deviation_s += WORK_SMOOTHING * (abs(error_s) - queue.deviation_s)
 
 
 def note_shed(item: UpstreamSlots, now_s: float) -> None:
@@ -175,7 +185,7 @@
             continue
         usable = _usable(admission, service, version)
         for tickets in queue.waiting.values():
-            _grant_from(tickets, usable, queue.work_s, now_s, granted, refused)
+            _grant_from(tickets, usable, queue.needed_s, now_s, granted, refused)
     return granted, refused
 
 
@@ -189,13 +199,13 @@
 def _grant_from(
     tickets: deque[Ticket],
     usable: list[UpstreamSlots],
-    work_s: float,
+    needed_s: float,
     now_s: float,
     granted: list[tuple[Ticket, UpstreamSlots]],
     refused: list[Ticket],
 ) -> None:
     while tickets:
-        if not usable or tickets[0].deadline_s - now_s < work_s:
+        if not usable or tickets[0].deadline_s - now_s < needed_s:
             refused.append(tickets.popleft())
             continue
         slot = _free_slot(usable, now_s)
@@ -223,7 +233,11 @@
 
 
 def _queue_of(admission: Admission, ticket: Ticket) -> Queue:
-    return admission.queues.setdefault((ticket.service, ticket.version), Queue())
+    name = (ticket.service, ticket.version)
+    queue = admission.queues.get(name)
+    if queue is None:
+        queue = admission.queues[name] = Queue()
+    return queue
 
 
 def _ahead(queue: Queue, priority: Priority) -> int:
--- a/agaterelay/core/routing.py
+++ b/agaterelay/core/routing.py
@@ -56,6 +56,8 @@
 def choose_version(shares: dict[str, int], draw: random.Random) -> str:
     """Draw a version by its share."""
     versions = list(shares)
+    if len(versions) == 1:
+        return versions[0]
     return draw.choices(versions, weights=[shares[name] for name in versions])[0]
 
 
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -154,7 +154,7 @@
         prober=Prober(gossip),
         upstreams=upstreams,
         owner=owner,
-        entry=Entry(world, board, owner, ports.session),
+        entry=Entry(world.clock, board, owner, ports.session),
         mover=mover,
         operators=Operators(world, board, upstreams, committer, metrics),
     )
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -24,6 +24,7 @@
 from agaterelay.core.model import Priority
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.core.retry import parse_retries
+from agaterelay.core.route_view import plain_view, view_of
 from agaterelay.events import EventKind
 from agaterelay.tasks.entry import Entry, Request, handle_request, mint_keys
 from agaterelay.tasks.owner import Call, run_call
@@ -128,8 +129,22 @@
 
 def _answer_library(entry: Entry, request: web.BaseRequest) -> web.Response:
     """Answer what the caller library asks of a node."""
-    if request.path != OWN_PATH + "keys" or request.method != "POST":
-        return web.json_response({"error": "no such resource"}, status=404)
+    if request.path == OWN_PATH + "routes" and request.method == "GET":
+        return _answer_routes(entry)
+    if request.path == OWN_PATH + "keys" and request.method == "POST":
+        return _answer_keys(entry, request)
+    return web.json_response({"error": "no such resource"}, status=404)
+
+
+def _answer_routes(entry: Entry) -> web.Response:
+    board = entry.board
+    if board.active is None or board.stopping:
+        return web.json_response({"error": "this node serves nothing"}, status=503)
+    view = view_of(board.active, board.own, board.members, board.brakes)
+    return web.json_response(plain_view(view))
+
+
+def _answer_keys(entry: Entry, request: web.BaseRequest) -> web.Response:
     method = request.query.get("method", "POST")
     count = request.query.get("count", "1")
     if not count.isdecimal() or len(count) > 3:
@@ -155,7 +170,7 @@
     if isinstance(outcome, Answered) or not _has_room(entry):
         return
     not_run = isinstance(outcome, NotRun)
-    entry.world.record(
+    entry.owner.world.record(
         EventKind.CALL_NOT_RUN if not_run else EventKind.CALL_UNKNOWN,
         request_id=request.headers.get(REQUEST_ID_HEADER, ""),
         path=request.path,
@@ -165,7 +180,7 @@
 
 def _has_room(entry: Entry) -> bool:
     """Return whether the timeline takes another event of this second."""
-    second = int(entry.world.clock.monotonic_s())
+    second = int(entry.clock.monotonic_s())
     if second != entry.events_second:
         entry.events_second = second
         entry.events = 0
@@ -200,7 +215,7 @@
         service=headers.get(SERVICE_HEADER, ""),
         version=headers.get(VERSION_HEADER, ""),
         request_id=headers.get(REQUEST_ID_HEADER, ""),
-        deadline_s=entry.world.clock.monotonic_s() + left_s,
+        deadline_s=entry.clock.monotonic_s() + left_s,
         key=parse_key(headers.get(KEY_HEADER, "")),
         idempotent=headers.get(IDEMPOTENT_HEADER) == "1",
         priority=Priority.BULK if bulk else Priority.INTERACTIVE,
--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -63,7 +63,8 @@
     targets_of,
     version_shares,
 )
-from agaterelay.tasks.board import Board, World
+from agaterelay.ports import Clock
+from agaterelay.tasks.board import Board
 from agaterelay.tasks.owner import Call, Owner, run_call
 
 MAX_KEYS_AT_ONCE = 64
@@ -86,11 +87,14 @@
 
 @attrs.define
 class Entry:
-    """The entry's state: calls in flight to each upstream, as this node sees them."""
+    """The entry's state: calls in flight to each upstream, as this process sees them.
 
-    world: World
+    There is no owner where the entry is in a caller's process.
+    """
+
+    clock: Clock
     board: Board
-    owner: Owner
+    owner: Owner | None
     session: aiohttp.ClientSession
     draw: random.Random = attrs.field(factory=random.Random)
     in_flight: dict[str, int] = attrs.field(factory=dict)
@@ -116,7 +120,7 @@
     if route is None:
         return Answered(404, (), b"no route\n")
     timeout_ms = min(request.timeout_ms or route.timeout_ms, route.timeout_ms)
-    deadline_s = entry.world.clock.monotonic_s() + timeout_ms / 1000
+    deadline_s = entry.clock.monotonic_s() + timeout_ms / 1000
     if route.idempotent or not request.key:
         return await _try_targets(entry, snapshot, route, request, deadline_s)
     key = parse_key(request.key)
@@ -177,7 +181,7 @@
                 return await _dispatch(entry, call, target)
     # The home may still hold what became of an earlier try.
     call = _call_of(route, request, "", deadline_s, budget, key)
-    if key.host == entry.board.own.host:
+    if key.host == entry.board.own.host and entry.owner is not None:
         return await run_call(entry.owner, call)
     return (await _forward(entry, call, member.calls_address))[0]
 
@@ -200,7 +204,7 @@
         if target is None:
             break
         member: Member = entry.board.members[target.host]
-        now = entry.world.clock.now()
+        now = entry.clock.now()
         keys.append(mint_key(target.host, member.incarnation, now))
     return tuple(keys)
 
@@ -251,7 +255,7 @@
             )
             if target.upstream.address not in tried
         ]
-        now_s = entry.world.clock.monotonic_s()
+        now_s = entry.clock.monotonic_s()
         usable = usable_targets(
             entry.health,
             targets,
@@ -270,7 +274,7 @@
 
 def _load(entry: Entry, target: Target) -> float:
     in_flight = entry.in_flight.get(target.upstream.address, 0)
-    now_s = entry.world.clock.monotonic_s()
+    now_s = entry.clock.monotonic_s()
     return load_of(entry.health, target, in_flight, now_s)
 
 
@@ -278,15 +282,15 @@
     """Run a call here, or send it to the node that owns the target."""
     address = target.upstream.address
     entry.in_flight[address] = entry.in_flight.get(address, 0) + 1
-    started_s = entry.world.clock.monotonic_s()
+    started_s = entry.clock.monotonic_s()
     try:
-        if target.host == entry.board.own.host:
+        if target.host == entry.board.own.host and entry.owner is not None:
             outcome = await run_call(entry.owner, call)
         else:
             outcome, answer = await _forward(entry, call, target.calls_address)
             if answer is not None:
                 _note_load(entry, target, answer.headers.get(LOAD_HEADER, ""))
-        now_s = entry.world.clock.monotonic_s()
+        now_s = entry.clock.monotonic_s()
         latency_ms = (now_s - started_s) * 1000
         observe(entry.health, target, outcome, latency_ms, now_s)
         return outcome
@@ -318,7 +322,7 @@
 async def _forward(
     entry: Entry, call: Call, calls_address: str
 ) -> tuple[Outcome, HttpAnswer | None]:
-    now_s = entry.world.clock.monotonic_s()
+    now_s = entry.clock.monotonic_s()
     left_ms = shortened_ms(call.deadline_s, now_s)
     if left_ms == 0:
         return _not_sent(call, "the deadline has passed"), None
@@ -347,7 +351,7 @@
     if not report.isdecimal() or len(report) > 6:
         return
     address = target.upstream.address
-    now_s = entry.world.clock.monotonic_s()
+    now_s = entry.clock.monotonic_s()
     note_load(
         entry.health, address, int(report), entry.in_flight.get(address, 0), now_s
     )
