Ask for a witness before a revision is served, and settle by fresh reads

Cause: tell_witnesses activated whatever the witnesses answered, and a restarted node took its floor from whoever answered, also from hosts that had just started. The keeper took one head after the other, so a slow fetch blocked newer ones; news from the platform had no peer as a source; every node without a floor read the head row itself; a swap whose answer was lost was reported as an error.

Change: core/floors.py (what is remembered of each host, bounded because nothing below a node's own floor is kept), core/news.py (candidates, newest first, bounded), tasks split into keeper, fetcher and witnesses; a joiner asks the zone's readers and takes their head read if it began after the joiner's process did; committed heads are recorded in the object store, so that they are found while the table is down; a commit in doubt reads back and swaps again under the same change id for 10 s; the tree of a zone no longer changes shape with every digest; replies of Fetch are bounded in size and rate.

--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -8,6 +8,7 @@
 import grpc
 
 from agaterelay.adapters import wire
+from agaterelay.core.floors import FloorAnswer
 from agaterelay.core.messages import (
     EventsReport,
     EvidenceReport,
@@ -74,16 +75,12 @@
         reply = await self._call(host, "Fetch", request)
         return Fetched(dict(reply.bodies), reply.retry_after_s)
 
-    async def witness(self, host: str, own_host: str, revision: int) -> int:
-        """Tell a host which revision this one is about to serve.
-
-        Returns:
-            The highest revision that the other saw this host serve.
-        """
+    async def witness(self, host: str, own_host: str, revision: int) -> FloorAnswer:
+        """Tell a host which revision this one is about to serve; ask for the floor."""
         request = pb.WitnessRequest(
             protocol=wire.PROTOCOL, host=own_host, revision=revision
         )
-        return (await self._call(host, "Witness", request)).floor
+        return wire.floor_from_wire(await self._call(host, "Witness", request))
 
     async def evidence(self, host: str, move: str) -> EvidenceReport:
         """Ask a host what it saw of a move."""
@@ -119,8 +116,8 @@
     exchange: Callable[[Exchange], Exchange]
     probe_for: Callable[[str], Awaitable[bool]]
     notify: Callable[[Notify], int]
-    fetch: Callable[[tuple[str, ...]], Awaitable[Fetched]]
-    witness: Callable[[str, int], int]
+    fetch: Callable[[tuple[str, ...]], Fetched]
+    witness: Callable[[str, int], FloorAnswer]
     evidence: Callable[[str], EvidenceReport]
     events: Callable[[Stamp, int], EventsReport]
     status: Callable[[], NodeStatus]
@@ -162,14 +159,14 @@
     async def Fetch(self, request, context):  # noqa: N802
         """Hand out bodies."""
         await self._check(request, context)
-        fetched = await self._handlers.fetch(tuple(request.digests))
+        fetched = self._handlers.fetch(tuple(request.digests))
         return pb.FetchReply(bodies=fetched.bodies, retry_after_s=fetched.retry_after_s)
 
     async def Witness(self, request, context):  # noqa: N802
         """Remember what a host serves."""
         await self._check(request, context)
-        floor = self._handlers.witness(request.host, request.revision)
-        return pb.WitnessReply(floor=floor)
+        answer = self._handlers.witness(request.host, request.revision)
+        return wire.floor_to_wire(answer)
 
     async def Evidence(self, request, context):  # noqa: N802
         """Tell what this node saw of a move."""
--- a/agaterelay/adapters/platform.py
+++ b/agaterelay/adapters/platform.py
@@ -6,7 +6,6 @@
 
 from agaterelay.ports import PlatformError, Row
 
-REQUEST_TIMEOUT_S = 2.0
 MAX_BODY_BYTES = 4 << 20
 
 
@@ -50,6 +49,8 @@
         status, body, version = await self._request("GET", f"{self._table_url}/{name}")
         if status == 404:
             return None
+        if status != 200:
+            raise PlatformError(f"GET {name}: status {status}")
         return Row(body, int(version))
 
     async def write(self, name: str, value: bytes, expected_version: int) -> bool:
@@ -57,12 +58,16 @@
         headers = {"If-Row-Version": str(expected_version)}
         url = f"{self._table_url}/{name}"
         status, _, _ = await self._request("PUT", url, value, **headers)
+        if status not in (200, 412):
+            raise PlatformError(f"PUT {name}: status {status}")
         return status == 200
 
     async def get(self, name: str) -> bytes | None:
         """Return an object, None where there is none."""
         status, body, _ = await self._request("GET", f"{self._objects_url}/{name}")
-        return None if status == 404 else body
+        if status not in (200, 404):
+            raise PlatformError(f"GET {name}: status {status}")
+        return body if status == 200 else None
 
     async def put(self, name: str, body: bytes) -> None:
         """Store an object, over an earlier one of the same name."""
--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import math
 
 import attrs
 
 from agaterelay.core.evidence import Evidence, Tally
+from agaterelay.core.floors import FloorAnswer
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
 from agaterelay.core.messages import Brake, Exchange, NodeStatus, Notify
 from agaterelay.core.model import Head
@@ -171,6 +173,31 @@
     )
 
 
+def floor_to_wire(answer: FloorAnswer) -> pb.WitnessReply:
+    """Return the reply of a floor."""
+    reply = pb.WitnessReply(
+        floor=answer.witnessed,
+        settled=answer.settled,
+        own_floor=answer.own,
+        head_revision=answer.head_revision,
+    )
+    if answer.head_age_s is not None:
+        reply.head_age_ms = math.ceil(answer.head_age_s * 1000)
+    return reply
+
+
+def floor_from_wire(reply: pb.WitnessReply) -> FloorAnswer:
+    """Return the floor of a reply."""
+    has_age = reply.HasField("head_age_ms")
+    return FloorAnswer(
+        witnessed=reply.floor,
+        own=reply.own_floor,
+        settled=reply.settled,
+        head_revision=reply.head_revision,
+        head_age_s=reply.head_age_ms / 1000 if has_age else None,
+    )
+
+
 def evidence_to_wire(evidence: Evidence) -> list[pb.RouteEvidence]:
     """Return the messages of evidence."""
     return [
--- a/agaterelay/core/line.py
+++ b/agaterelay/core/line.py
@@ -1,8 +1,9 @@
 """The line of revisions on one node: which revision it holds, and which it serves.
 
-A node takes only higher revisions. A revision is staged first, and activated when
-the node may serve it. A node that has just started does not know what its predecessor
-on the same host served; it waits for a floor before it activates anything.
+A node takes only higher revisions. A revision is staged first, and activated once
+another host remembers that this one is about to serve it. A node that has just started
+does not know what its predecessor on the same host served; it activates nothing before
+it knows a floor.
 """
 
 from __future__ import annotations
@@ -17,11 +18,14 @@
     """The revisions of one node.
 
     ``floor`` is the lowest revision that may be activated, None while it is unknown.
+    ``witnessed`` is the highest revision that may be activated: a peer has
+    acknowledged it, or no peer could be reached at all.
     """
 
     active: Snapshot | None = None
     staged: Snapshot | None = None
     floor: int | None = None
+    witnessed: int = 0
 
     @property
     def active_revision(self) -> int:
@@ -46,12 +50,21 @@
     return attrs.evolve(line, floor=max(revision, line.floor or 0))
 
 
+def acknowledge(line: Line, revision: int) -> Line:
+    """Return the line where peers remember that this host may serve the revision."""
+    return attrs.evolve(line, witnessed=max(revision, line.witnessed))
+
+
+def may_activate(line: Line) -> bool:
+    """Return whether the staged revision is newer, not too old, and witnessed."""
+    if line.staged is None or line.floor is None:
+        return False
+    lowest = max(line.floor, line.active_revision + 1)
+    return lowest <= line.staged.revision <= line.witnessed
+
+
 def activate(line: Line) -> Line:
     """Return the line with the staged snapshot active, where that is allowed."""
-    if line.staged is None or line.floor is None:
-        return line
-    if line.staged.revision < line.floor:
+    if not may_activate(line):
         return line
-    if line.staged.revision <= line.active_revision:
-        return attrs.evolve(line, staged=None)
     return attrs.evolve(line, active=line.staged, staged=None)
--- a/agaterelay/core/messages.py
+++ b/agaterelay/core/messages.py
@@ -67,7 +67,10 @@
 
 @attrs.frozen
 class NodeStatus:
-    """What one node says of itself; times are in milliseconds since 1970."""
+    """What one node says of itself; times are in milliseconds since 1970.
+
+    A node whose ``known_revision`` is above its ``active_revision`` is behind.
+    """
 
     host: str
     zone: str
@@ -76,3 +79,4 @@
     platform_up: bool
     stopping: bool
     activated_ms: int
+    known_revision: int = 0
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -28,6 +28,7 @@
 from agaterelay.tasks.calls import start_calls_server
 from agaterelay.tasks.committer import Committer
 from agaterelay.tasks.entry import Entry
+from agaterelay.tasks.fetcher import serve_fetch
 from agaterelay.tasks.gossip import (
     Gossip,
     leave,
@@ -40,8 +41,8 @@
 from agaterelay.tasks.keeper import (
     Keeper,
     post,
+    run_activation,
     run_keeper,
-    serve_fetch,
     serve_witness,
 )
 from agaterelay.tasks.mover import (
@@ -58,7 +59,7 @@
     start_operators_server,
 )
 from agaterelay.tasks.owner import Owner, announced, expire_upstreams
-from agaterelay.tasks.reader import run_reader
+from agaterelay.tasks.reader import Reader, run_reader
 
 PEER_TIMEOUT_S = 1.0
 RESTART_DELAY_S = 0.5
@@ -85,6 +86,7 @@
     world: World
     board: Board
     keeper: Keeper
+    reader: Reader
     gossip: Gossip
     owner: Owner
     entry: Entry
@@ -132,6 +134,7 @@
         world=world,
         board=board,
         keeper=keeper,
+        reader=Reader(world, board, keeper, clock.monotonic_s()),
         gossip=gossip,
         owner=owner,
         entry=Entry(world, board, owner, ports.session),
@@ -152,7 +155,9 @@
         exchange=lambda exchange: serve_exchange(node.gossip, exchange),
         probe_for=lambda host: serve_probe_for(node.gossip, host),
         notify=take_notify,
-        fetch=lambda digests: serve_fetch(node.keeper, digests),
+        fetch=lambda digests: serve_fetch(
+            node.keeper.bodies, digests, node.world.clock.monotonic_s()
+        ),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
         evidence=lambda move: serve_evidence(node.mover, move),
         events=lambda after, most: own_events(node.world, after, most),
@@ -235,7 +240,8 @@
 def _start_tasks(node: Node) -> list[asyncio.Task[None]]:
     starts: dict[str, Any] = {
         "keeper": lambda: run_keeper(node.keeper),
-        "reader": lambda: run_reader(node.world, node.board, node.keeper),
+        "activation": lambda: run_activation(node.keeper),
+        "reader": lambda: run_reader(node.reader),
         "gossip": lambda: run_gossip(node.gossip),
         "upstreams": lambda: watch_upstreams(node),
         "brakes": lambda: run_brakes(node.mover),
--- a/agaterelay/ports.py
+++ b/agaterelay/ports.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from agaterelay.core.floors import FloorAnswer
 from agaterelay.core.messages import (
     EventsReport,
     EvidenceReport,
@@ -22,6 +23,14 @@
     """The platform did not answer; a write may or may not have taken effect."""
 
 
+class NotCommittedError(PlatformError):
+    """The platform did not answer, and a change is certainly not committed."""
+
+
+class CommitUnknownError(PlatformError):
+    """It is unknown whether a change is committed; its change id tells later."""
+
+
 class Clock(Protocol):
     """Tells and waits for time."""
 
@@ -101,8 +110,8 @@
     async def fetch(self, host: str, digests: tuple[str, ...]) -> Fetched:
         """Ask a host for bodies by digest."""
 
-    async def witness(self, host: str, own_host: str, revision: int) -> int:
-        """Tell a host which revision this one is about to serve; return the floor."""
+    async def witness(self, host: str, own_host: str, revision: int) -> FloorAnswer:
+        """Tell a host which revision this one is about to serve; ask for the floor."""
 
     async def evidence(self, host: str, move: str) -> EvidenceReport:
         """Ask a host what it saw of a move."""
--- a/agaterelay/tasks/board.py
+++ b/agaterelay/tasks/board.py
@@ -43,7 +43,10 @@
     held: Head = Head(0, "")  # written by the keeper
     floor: int | None = None  # written by the keeper
     brakes: dict[str, Brake] = attrs.field(factory=dict)  # written by the brake task
+    known_revision: int = 0  # written by the keeper
     platform_up: bool = True  # written by the reader
+    head_revision: int = 0  # written by the reader
+    head_read_s: float | None = None  # written by the reader
     stopping: bool = False  # written by the node
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
--- a/agaterelay/tasks/gossip.py
+++ b/agaterelay/tasks/gossip.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from agaterelay.core.floors import recall
 from agaterelay.core.membership import (
     Member,
     MemberState,
@@ -74,7 +75,7 @@
 def serve_exchange(gossip: Gossip, exchange: Exchange) -> Exchange:
     """Answer a peer's probe."""
     take_exchange(gossip, exchange)
-    floor = gossip.keeper.floors.get(exchange.sender.host, 0)
+    floor = recall(gossip.keeper.floors, exchange.sender.host)
     reply = own_exchange(gossip, floor=floor)
     if exchange.want_all:
         return attrs.evolve(reply, updates=tuple(gossip.board.members.values()))
--- a/agaterelay/tasks/keeper.py
+++ b/agaterelay/tasks/keeper.py
@@ -1,8 +1,8 @@
 """The keeper owns the node's line of revisions.
 
-It takes news of revisions from its inbox, fetches the parts that it lacks from the
-node that told it, else from the object store, builds and checks the whole, and makes
-it active. It then tells the hosts below it in the tree.
+It takes news of revisions, fetches the parts that it lacks, builds and checks the
+whole, stages it, and tells the hosts below it in the tree. A second loop makes what is
+staged active, once another host remembers that this one is about to serve it.
 """
 
 from __future__ import annotations
@@ -12,24 +12,35 @@
 
 import attrs
 
-from agaterelay.core.line import Line, activate, raise_floor, stage
-from agaterelay.core.manifest import decode_manifest, digest_of
+from agaterelay.core.floors import FloorAnswer, Floors, raise_common, recall, remember
+from agaterelay.core.line import (
+    Line,
+    acknowledge,
+    activate,
+    may_activate,
+    raise_floor,
+    stage,
+)
 from agaterelay.core.membership import zone_hosts
-from agaterelay.core.messages import Fetched, Notify
-from agaterelay.core.model import Finding, Head, Manifest, Place, Snapshot
-from agaterelay.core.rendezvous import rank
-from agaterelay.core.snapshot import build_snapshot
+from agaterelay.core.messages import Notify
+from agaterelay.core.model import Finding, Head, Snapshot
+from agaterelay.core.news import Candidate, News, drop_older, hear, refuse
 from agaterelay.core.spread import children
 from agaterelay.core.timeline import tick
 from agaterelay.events import EventKind
-from agaterelay.ports import PeerError, PlatformError
+from agaterelay.ports import PeerError
 from agaterelay.tasks.board import Board, Seen, World
+from agaterelay.tasks.fetcher import (
+    Bodies,
+    MissingPartsError,
+    load_snapshot,
+    retain_bodies,
+)
+from agaterelay.tasks.witnesses import find_witness
 
-INBOX_SIZE = 256
-MAX_CONCURRENT_FETCHES = 4
-FETCH_RETRY_S = 0.25
-WITNESSES = 2
-FLOOR_WAIT_S = 3.0
+RETRY_S = 0.5
+ACTIVATION_RETRY_S = 0.2
+MAX_NOTIFIED = 64
 
 
 @attrs.define
@@ -39,41 +50,79 @@
     world: World
     board: Board
     line: Line = Line()
-    inbox: asyncio.Queue[Seen] = attrs.field(factory=lambda: asyncio.Queue(INBOX_SIZE))
-    bodies: dict[str, bytes] = attrs.field(factory=dict)
-    refused: set[str] = attrs.field(factory=set)
-    floors: dict[str, int] = attrs.field(factory=dict)
-    serving_fetches: int = 0
+    news: News = News()
+    floors: Floors = Floors()
+    bodies: Bodies = attrs.field(factory=Bodies)
+    heard: asyncio.Event = attrs.field(factory=asyncio.Event)
+    ready: asyncio.Event = attrs.field(factory=asyncio.Event)
+    spreading: asyncio.Task[None] | None = None
 
 
 def post(keeper: Keeper, seen: Seen) -> None:
-    """Put news into the keeper's inbox; news that does not fit will come again."""
-    if seen.head.revision <= keeper.line.held_revision:
-        return
-    try:
-        keeper.inbox.put_nowait(seen)
-    except asyncio.QueueFull:
-        return
+    """Tell the keeper of a revision; it goes for the newest that it heard of."""
+    board = keeper.board
+    board.known_revision = max(board.known_revision, seen.head.revision)
+    sources = (seen.source,) if seen.source else ()
+    candidate = Candidate(seen.head, sources, seen.origin)
+    news = hear(keeper.news, candidate, keeper.line.held_revision)
+    if news != keeper.news:
+        keeper.news = news
+        keeper.heard.set()
 
 
 async def run_keeper(keeper: Keeper) -> None:
     """Take in revisions until cancelled."""
     while True:
-        seen = await keeper.inbox.get()
-        head = seen.head
-        if head.revision <= keeper.line.held_revision or head.digest in keeper.refused:
+        await keeper.heard.wait()
+        keeper.heard.clear()
+        while keeper.news.candidates:
+            if not await take_in_newest(keeper):
+                await _wait_for_news(keeper)
+
+
+async def _wait_for_news(keeper: Keeper) -> None:
+    delay_s = RETRY_S * random.uniform(0.5, 1.5)
+    waits = {
+        asyncio.create_task(keeper.heard.wait()),
+        asyncio.create_task(keeper.world.clock.sleep(delay_s)),
+    }
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in waits:
+            task.cancel()
+
+
+async def take_in_newest(keeper: Keeper) -> bool:
+    """Try the candidates, the newest first; return whether one was dealt with."""
+    newest = keeper.news.newest_revision
+
+    def is_superseded() -> bool:
+        return keeper.news.newest_revision > newest
+
+    for candidate in keeper.news.candidates:
+        try:
+            snapshot, findings = await load_snapshot(
+                keeper.world,
+                keeper.board,
+                keeper.bodies,
+                candidate,
+                is_superseded,
+            )
+        except MissingPartsError:
+            if is_superseded():
+                return True
             continue
-        snapshot, findings = await load_snapshot(keeper, head, seen.source)
         if snapshot is None:
-            _refuse(keeper, head, findings)
-            continue
-        await _take(keeper, snapshot, seen)
+            _refuse(keeper, candidate.head, findings)
+        else:
+            take(keeper, snapshot, candidate.origin)
+        return True
+    return False
 
 
 def _refuse(keeper: Keeper, head: Head, findings: tuple[Finding, ...]) -> None:
-    if not findings:
-        return
-    keeper.refused.add(head.digest)
+    keeper.news = refuse(keeper.news, head.digest)
     keeper.world.record(
         EventKind.REVISION_REFUSED,
         revision=head.revision,
@@ -81,33 +130,70 @@
     )
 
 
-async def _take(keeper: Keeper, snapshot: Snapshot, seen: Seen) -> None:
-    """Stage a snapshot, let witnesses know, activate it, and pass the news on."""
+def take(keeper: Keeper, snapshot: Snapshot, origin: str) -> None:
+    """Stage a snapshot and pass the news on."""
     world, board = keeper.world, keeper.board
-    keeper.line = stage(keeper.line, snapshot)
+    line = stage(keeper.line, snapshot)
+    keeper.news = drop_older(keeper.news, line.held_revision)
+    if line is keeper.line:
+        return
+    keeper.line = line
     board.held = Head(snapshot.revision, snapshot.digest)
-    keep_bodies(keeper, snapshot)
+    retain_bodies(keeper.bodies, snapshot.manifest, snapshot.digest)
     world.record(EventKind.REVISION_STAGED, revision=snapshot.revision)
-    origin = seen.origin or board.own.host
-    spreading = asyncio.create_task(spread(keeper, board.held, origin))
-    await tell_witnesses(keeper, snapshot.revision)
+    if keeper.spreading is not None:
+        keeper.spreading.cancel()
+    news = spread(keeper, board.held, origin or board.own.host)
+    keeper.spreading = asyncio.create_task(news)
+    keeper.ready.set()
+
+
+async def run_activation(keeper: Keeper) -> None:
+    """Make staged revisions active until cancelled."""
+    while True:
+        await keeper.ready.wait()
+        keeper.ready.clear()
+        while keeper.line.staged is not None and keeper.line.floor is not None:
+            await activate_staged(keeper)
+            if keeper.line.staged is None or not _is_current(keeper):
+                break
+            await keeper.world.clock.sleep(ACTIVATION_RETRY_S)
+
+
+def _is_current(keeper: Keeper) -> bool:
+    """Return whether what is staged is not below the floor."""
+    return keeper.line.staged.revision >= (keeper.line.floor or 0)
+
+
+async def activate_staged(keeper: Keeper) -> None:
+    """Find a witness for the staged revision, then make it active."""
+    staged = keeper.line.staged
+    if staged is None or staged.revision < (keeper.line.floor or 0):
+        return
+    if staged.revision > keeper.line.witnessed:
+        floor = await find_witness(keeper.world, keeper.board, staged.revision)
+        if keeper.line.active is None:
+            set_floor(keeper, floor)
+        keeper.line = acknowledge(keeper.line, staged.revision)
     publish(keeper)
-    await spreading
 
 
 def publish(keeper: Keeper) -> None:
     """Activate what is staged, where that is allowed, and publish it."""
-    before = keeper.line.active_revision
-    keeper.line = activate(keeper.line)
     board = keeper.board
     board.floor = keeper.line.floor
-    if keeper.line.active_revision > before:
-        board.active = keeper.line.active
-        board.activated_ms = int(keeper.world.clock.now().timestamp() * 1000)
-        board.changed.set()
-        board.changed = asyncio.Event()
-        revision = keeper.line.active_revision
-        keeper.world.record(EventKind.REVISION_ACTIVATED, revision=revision)
+    if not may_activate(keeper.line):
+        return
+    keeper.line = activate(keeper.line)
+    revision = keeper.line.active_revision
+    keeper.line = raise_floor(keeper.line, revision)
+    keeper.floors = raise_common(keeper.floors, revision)
+    board.active = keeper.line.active
+    board.floor = keeper.line.floor
+    board.activated_ms = int(keeper.world.clock.now().timestamp() * 1000)
+    board.changed.set()
+    board.changed = asyncio.Event()
+    keeper.world.record(EventKind.REVISION_ACTIVATED, revision=revision)
 
 
 def set_floor(keeper: Keeper, revision: int) -> None:
@@ -115,123 +201,47 @@
     if keeper.line.floor is None:
         keeper.world.record(EventKind.FLOOR_KNOWN, revision=revision)
     keeper.line = raise_floor(keeper.line, revision)
-    publish(keeper)
-
-
-def keep_bodies(keeper: Keeper, snapshot: Snapshot) -> None:
-    """Drop the bodies that the newest revision does not use."""
-    used = {reference.digest for reference in snapshot.manifest.sections}
-    used.add(snapshot.digest)
-    keeper.bodies = {
-        digest: body for digest, body in keeper.bodies.items() if digest in used
-    }
+    keeper.floors = raise_common(keeper.floors, revision)
+    keeper.board.floor = keeper.line.floor
+    keeper.board.known_revision = max(keeper.board.known_revision, revision)
+    keeper.ready.set()
 
 
-async def load_snapshot(
-    keeper: Keeper, head: Head, source: str
-) -> tuple[Snapshot | None, tuple[Finding, ...]]:
-    """Fetch what is missing of a revision and build it.
+async def spread(keeper: Keeper, head: Head, origin: str) -> None:
+    """Tell the hosts below this one in the zone's tree of a revision.
 
-    Returns:
-        The snapshot; or None with findings where it is invalid; or None with none
-        where parts could not be had.
+    Where one does not answer, those below it are told in its place.
     """
-    if not await fetch_bodies(keeper, (head.digest,), source):
-        return None, ()
-    manifest, findings = decode_manifest(keeper.bodies[head.digest], head.digest)
-    if manifest is None:
-        keeper.bodies.pop(head.digest, None)
-        return None, findings
-    if manifest.revision != head.revision:
-        place = Place(f"manifest {head.digest[:12]}")
-        return None, (Finding(place, "the manifest is of another revision"),)
-    if not await fetch_bodies(keeper, _section_digests(manifest), source):
-        return None, ()
-    return build_snapshot(manifest, head.digest, keeper.bodies)
-
-
-def _section_digests(manifest: Manifest) -> tuple[str, ...]:
-    return tuple(reference.digest for reference in manifest.sections)
-
-
-async def fetch_bodies(keeper: Keeper, digests: tuple[str, ...], source: str) -> bool:
-    """Fetch the bodies that are not in memory; return whether all are now."""
-    for place in (source, "", source):
-        missing = tuple(item for item in digests if item not in keeper.bodies)
-        if not missing:
-            return True
-        bodies = await _fetch_from(keeper, place, missing)
-        keeper.bodies.update(
-            {name: body for name, body in bodies.items() if digest_of(body) == name}
-        )
-    return all(item in keeper.bodies for item in digests)
-
-
-async def _fetch_from(
-    keeper: Keeper, source: str, digests: tuple[str, ...]
-) -> dict[str, bytes]:
-    """Fetch from a host, or from the object store where the source is empty."""
-    world = keeper.world
-    if not source:
-        bodies = {}
-        for digest in digests:
-            try:
-                body = await world.objects.get(f"bodies/{digest}")
-            except PlatformError:
-                return bodies
-            if body is not None:
-                bodies[digest] = body
-        return bodies
-    try:
-        fetched = await world.peers.fetch(source, digests)
-    except PeerError:
-        return {}
-    if fetched.retry_after_s:
-        await world.clock.sleep(fetched.retry_after_s * random.uniform(0.5, 1.5))
-    return fetched.bodies
-
-
-async def serve_fetch(keeper: Keeper, digests: tuple[str, ...]) -> Fetched:
-    """Hand out bodies to a peer, to a few peers at a time."""
-    if keeper.serving_fetches >= MAX_CONCURRENT_FETCHES:
-        return Fetched(retry_after_s=FETCH_RETRY_S)
-    keeper.serving_fetches += 1
-    try:
-        return Fetched(
-            {name: keeper.bodies[name] for name in digests if name in keeper.bodies}
-        )
-    finally:
-        keeper.serving_fetches -= 1
-
-
-async def spread(keeper: Keeper, head: Head, origin: str) -> None:
-    """Tell the hosts below this one in the zone's tree of a revision."""
     world, board = keeper.world, keeper.board
     members = zone_hosts(board.members, world.settings.zone)
-    below = children(members, head.digest, origin, board.own.host)
     notify = Notify(tick(world.timeline), board.own.host, origin, head)
-    await asyncio.gather(
-        *(world.peers.notify(host, notify) for host in below), return_exceptions=True
-    )
+    below = children(members, origin, board.own.host)
+    told = 0
+    while below and told < MAX_NOTIFIED:
+        told += len(below)
+        answers = await asyncio.gather(
+            *(world.peers.notify(host, notify) for host in below),
+            return_exceptions=True,
+        )
+        silent = [
+            host
+            for host, answer in zip(below, answers, strict=True)
+            if isinstance(answer, PeerError)
+        ]
+        below = [item for host in silent for item in children(members, origin, host)]
 
 
-async def tell_witnesses(keeper: Keeper, revision: int) -> None:
-    """Let other hosts of the zone remember which revision this one is to serve."""
-    world, board = keeper.world, keeper.board
-    own = board.own.host
-    others = [
-        host
-        for host in rank(zone_hosts(board.members, world.settings.zone), own)
-        if host != own
-    ]
-    await asyncio.gather(
-        *(world.peers.witness(host, own, revision) for host in others[:WITNESSES]),
-        return_exceptions=True,
+def serve_witness(keeper: Keeper, host: str, revision: int) -> FloorAnswer:
+    """Remember the revision that a host is about to serve; return its floor."""
+    keeper.floors = remember(keeper.floors, host, revision)
+    board = keeper.board
+    age_s = None
+    if board.head_read_s is not None:
+        age_s = keeper.world.clock.monotonic_s() - board.head_read_s
+    return FloorAnswer(
+        witnessed=recall(keeper.floors, host),
+        own=keeper.line.floor or 0,
+        settled=keeper.line.floor is not None,
+        head_revision=board.head_revision,
+        head_age_s=age_s,
     )
-
-
-def serve_witness(keeper: Keeper, host: str, revision: int) -> int:
-    """Remember the revision that a host serves; return the highest so far."""
-    floor = max(keeper.floors.get(host, 0), revision)
-    keeper.floors[host] = floor
-    return floor
--- a/agaterelay/tasks/operators.py
+++ b/agaterelay/tasks/operators.py
@@ -38,7 +38,7 @@
 from agaterelay.core.snapshot import ADMIN_OWNER
 from agaterelay.core.timeline import Event, Stamp, merge_events
 from agaterelay.events import EventKind
-from agaterelay.ports import PlatformError
+from agaterelay.ports import NotCommittedError, PlatformError
 from agaterelay.tasks.board import Board, World
 from agaterelay.tasks.committer import Committer, commit_change, commit_move
 from agaterelay.tasks.gossip import Gossip, set_upstreams
@@ -97,6 +97,7 @@
         platform_up=board.platform_up,
         stopping=board.stopping,
         activated_ms=board.activated_ms,
+        known_revision=board.known_revision,
     )
 
 
@@ -180,12 +181,21 @@
         decision = await commit_change(operators.committer, change, _key_of(request))
     except PlatformError as error:
         return web.json_response(
-            {"error": "platform", "message": str(error), "change_id": change_id},
+            {
+                "error": "platform",
+                "message": str(error),
+                "change_id": change_id,
+                "committed": _committed_word(error),
+            },
             status=503,
         )
     return _respond_decision(operators, change_id, decision)
 
 
+def _committed_word(error: PlatformError) -> str:
+    return "no" if isinstance(error, NotCommittedError) else "unknown"
+
+
 def _respond_decision(
     operators: Operators, change_id: str, decision: Decision
 ) -> web.Response:
--- a/agaterelay/tasks/reader.py
+++ b/agaterelay/tasks/reader.py
@@ -1,24 +1,48 @@
 """The reader polls the head row, on the few hosts of a zone whose turn it is.
 
-It also finds the floor of a node that has just started: from the platform, else from
-what the peers saw the predecessor on this host serve.
+It also settles a node that has just started: finds the lowest revision that the node
+may serve. While the table does not answer, the newest revision that was committed is
+found in the object store.
 """
 
 from __future__ import annotations
 
 import random
 
+import attrs
+
+from agaterelay.core.floors import floor_from_head, floor_from_peers
 from agaterelay.core.manifest import decode_head
 from agaterelay.core.membership import zone_hosts
 from agaterelay.core.model import Head
 from agaterelay.core.rendezvous import rank
 from agaterelay.events import EventKind
-from agaterelay.ports import PeerError, PlatformError
+from agaterelay.ports import PlatformError
 from agaterelay.tasks.board import Board, Seen, World
+from agaterelay.tasks.committed import find_committed, record_committed
 from agaterelay.tasks.keeper import Keeper, post, set_floor
+from agaterelay.tasks.witnesses import ask_all, ask_floors
 
 READERS_PER_ZONE = 2
 HEAD_ROW = "head"
+JOIN_WAIT_S = 2.0
+JOIN_POLL_S = 0.1
+SETTLE_RETRY_S = 0.4
+ASK_ALL_AFTER_S = 2.0
+
+
+@attrs.define
+class Reader:
+    """The reader's state; times are in seconds on the clock that never jumps.
+
+    ``recorded_revision`` is the newest one known to be recorded in the object store.
+    """
+
+    world: World
+    board: Board
+    keeper: Keeper
+    started_s: float
+    recorded_revision: int = 0
 
 
 async def read_head(world: World) -> tuple[Head, int]:
@@ -36,48 +60,110 @@
     return head, row.version
 
 
+def readers(board: Board, zone: str) -> list[str]:
+    """Return the hosts whose turn it is to read for a zone, as this host sees it."""
+    hosts = {*zone_hosts(board.members, zone), board.own.host}
+    return rank(hosts, f"reader {zone}")[:READERS_PER_ZONE]
+
+
 def is_reader(board: Board, zone: str) -> bool:
     """Return whether it is this host's turn to read for its zone."""
-    hosts = {*zone_hosts(board.members, zone), board.own.host}
-    return board.own.host in rank(hosts, f"reader {zone}")[:READERS_PER_ZONE]
+    return board.own.host in readers(board, zone)
 
 
-async def run_reader(world: World, board: Board, keeper: Keeper) -> None:
-    """Poll the head row until cancelled."""
+async def run_reader(reader: Reader) -> None:
+    """Settle the node, then poll the head row where it is its turn."""
+    world = reader.world
+    await wait_for_peers(reader)
+    while reader.keeper.line.floor is None:
+        await settle(reader)
+        await world.clock.sleep(SETTLE_RETRY_S * random.uniform(0.5, 1.5))
     while True:
-        if keeper.line.floor is None or is_reader(board, world.settings.zone):
-            await _poll(world, board, keeper)
+        if is_reader(reader.board, world.settings.zone):
+            await poll(reader)
+        else:
+            # Only this host's own reads tell that the table answers.
+            reader.board.platform_up = True
         await world.clock.sleep(world.settings.head_poll_s * random.uniform(0.8, 1.2))
 
 
-async def _poll(world: World, board: Board, keeper: Keeper) -> None:
+async def wait_for_peers(reader: Reader) -> None:
+    """Wait until other hosts are known, so that few nodes take themselves for readers.
+
+    A node that knows of none after a while goes on alone.
+    """
+    clock = reader.world.clock
+    while len(reader.board.members) < 2:
+        if clock.monotonic_s() - reader.started_s >= JOIN_WAIT_S:
+            return
+        await clock.sleep(JOIN_POLL_S * random.uniform(0.5, 1.5))
+
+
+async def settle(reader: Reader) -> None:
+    """Try once to find the floor: from the platform, from its readers, from peers."""
+    world, board, keeper = reader.world, reader.board, reader.keeper
+    chosen = readers(board, world.settings.zone)
+    if board.own.host in chosen:
+        await poll(reader)
+    age_s = world.clock.monotonic_s() - reader.started_s
+    if keeper.line.floor is None:
+        others = [host for host in chosen if host != board.own.host]
+        answers = await ask_floors(world, board, others, 0)
+        _settle_at(keeper, floor_from_head(answers, age_s))
+    if keeper.line.floor is None and age_s >= ASK_ALL_AFTER_S:
+        _settle_at(keeper, floor_from_peers(await ask_all(world, board)))
+
+
+def _settle_at(keeper: Keeper, floor: int | None) -> None:
+    if floor is not None:
+        set_floor(keeper, floor)
+
+
+async def poll(reader: Reader) -> None:
+    """Read the head row, or the object store while the table does not answer."""
+    world, board = reader.world, reader.board
+    began_s = world.clock.monotonic_s()
     try:
         head, _ = await read_head(world)
     except PlatformError as error:
         if board.platform_up:
             world.record(EventKind.PLATFORM_LOST, reason=str(error))
         board.platform_up = False
-        if keeper.line.floor is None:
-            await find_floor_from_peers(world, board, keeper)
+        await _poll_objects(reader)
         return
     if not board.platform_up:
         world.record(EventKind.PLATFORM_BACK)
     board.platform_up = True
-    if keeper.line.floor is None:
-        set_floor(keeper, head.revision)
-    post(keeper, Seen(head))
+    board.head_read_s = began_s
+    board.head_revision = head.revision
+    if reader.keeper.line.floor is None:
+        set_floor(reader.keeper, head.revision)
+    post(reader.keeper, Seen(head))
+    await _record(reader, head)
 
 
-async def find_floor_from_peers(world: World, board: Board, keeper: Keeper) -> None:
-    """Ask all hosts of the zone for the floor; set it if at least one answers."""
-    own = board.own.host
-    floors = []
-    for host in zone_hosts(board.members, world.settings.zone):
-        if host == own:
-            continue
-        try:
-            floors.append(await world.peers.witness(host, own, 0))
-        except PeerError:
-            continue
-    if floors:
-        set_floor(keeper, max(floors))
+async def _record(reader: Reader, head: Head) -> None:
+    """Record a committed head in the object store, where that is not known yet."""
+    if head.revision <= reader.recorded_revision:
+        return
+    try:
+        await record_committed(reader.world.objects, head)
+    except PlatformError:
+        return
+    reader.recorded_revision = head.revision
+
+
+async def _poll_objects(reader: Reader) -> None:
+    """Find the newest committed revision in the object store, and what peers know."""
+    world, keeper = reader.world, reader.keeper
+    try:
+        head = await find_committed(world.objects, keeper.line.held_revision)
+    except PlatformError:
+        return
+    if head is None:
+        return
+    if keeper.line.floor is None:
+        answers = await ask_all(world, reader.board)
+        known = [max(answer.witnessed, answer.own) for answer in answers]
+        set_floor(keeper, max([head.revision, *known]))
+    post(keeper, Seen(head))
