Prove over crossed updates, cuts, outages and restarts that no host goes back

Seen failing with each guard removed in turn: no witness asked; answers of unsettled hosts accepted; the floor ignored; witnesses that forget; no floor needed.

Found by it: activate_staged called before the floor is known took a witness's answer for the floor. The loop around it did not call it so; the guard is now in core/line.needs_witness, in one place.

--- a/agaterelay/core/line.py
+++ b/agaterelay/core/line.py
@@ -55,6 +55,14 @@
     return attrs.evolve(line, witnessed=max(revision, line.witnessed))
 
 
+def needs_witness(line: Line) -> bool:
+    """Return whether nothing but a witness keeps the staged revision back."""
+    if line.staged is None or line.floor is None:
+        return False
+    lowest = max(line.floor, line.active_revision + 1)
+    return line.staged.revision >= max(lowest, line.witnessed + 1)
+
+
 def may_activate(line: Line) -> bool:
     """Return whether the staged revision is newer, not too old, and witnessed."""
     if line.staged is None or line.floor is None:
--- a/agaterelay/tasks/keeper.py
+++ b/agaterelay/tasks/keeper.py
@@ -18,6 +18,7 @@
     acknowledge,
     activate,
     may_activate,
+    needs_witness,
     raise_floor,
     stage,
 )
@@ -39,7 +40,6 @@
 from agaterelay.tasks.witnesses import find_witness
 
 RETRY_S = 0.5
-ACTIVATION_RETRY_S = 0.2
 MAX_NOTIFIED = 64
 
 
@@ -153,28 +153,19 @@
     while True:
         await keeper.ready.wait()
         keeper.ready.clear()
-        while keeper.line.staged is not None and keeper.line.floor is not None:
+        while needs_witness(keeper.line):
             await activate_staged(keeper)
-            if keeper.line.staged is None or not _is_current(keeper):
-                break
-            await keeper.world.clock.sleep(ACTIVATION_RETRY_S)
-
-
-def _is_current(keeper: Keeper) -> bool:
-    """Return whether what is staged is not below the floor."""
-    return keeper.line.staged.revision >= (keeper.line.floor or 0)
 
 
 async def activate_staged(keeper: Keeper) -> None:
     """Find a witness for the staged revision, then make it active."""
     staged = keeper.line.staged
-    if staged is None or staged.revision < (keeper.line.floor or 0):
+    if staged is None or not needs_witness(keeper.line):
         return
-    if staged.revision > keeper.line.witnessed:
-        floor = await find_witness(keeper.world, keeper.board, staged.revision)
-        if keeper.line.active is None:
-            set_floor(keeper, floor)
-        keeper.line = acknowledge(keeper.line, staged.revision)
+    floor = await find_witness(keeper.world, keeper.board, staged.revision)
+    if keeper.line.active is None:
+        set_floor(keeper, floor)
+    keeper.line = acknowledge(keeper.line, staged.revision)
     publish(keeper)
 
 
--- /dev/null
+++ b/tests/tasks/test_never_older.py
@@ -0,0 +1,224 @@
+"""No host serves an older revision, over crossed updates, cuts, outages, restarts."""
+
+import asyncio
+import random
+
+from hypothesis import given, settings
+from hypothesis.strategies import integers
+
+from agaterelay.core.manifest import encode_head
+from agaterelay.core.model import Head
+from agaterelay.tasks.committed import put_committed
+from agaterelay.tasks.keeper import activate_staged, take
+from agaterelay.tasks.reader import HEAD_ROW, poll, readers, settle
+from tests.tasks.fakes import Fleet, empty_revision
+
+ZONES = {"a": "z1", "b": "z1", "c": "z1", "d": "z1", "e": "z1", "f": "z2"}
+AGES = (0, 1, 2)
+OUTAGES = ((False, False), (False, True), (True, False), (True, True))
+STEPS = 25
+
+
+class Model:
+    """The hosts, and what each of them served over all its processes."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.fleet = Fleet(ZONES)
+        self.committed = 0
+        self.recorded = 0
+        self.served = dict.fromkeys(ZONES, 0)
+        self.reached = {name: set() for name in ZONES}
+        self.polled_s = dict.fromkeys(ZONES, -1.0)
+
+    def run(self, work):
+        async def run_and_let_others():
+            await work
+            await asyncio.sleep(0)
+
+        self.loop.run_until_complete(run_and_let_others())
+
+    def close(self):
+        self.loop.run_until_complete(asyncio.sleep(0.001))
+        self.loop.close()
+
+    def is_covered(self, host):
+        """Whether what this host served is known where it will look for it.
+
+        The rest is what docs/PROOFS.md lists as not proved.
+        """
+        fleet, served = self.fleet, self.served[host]
+        if served == 0:
+            return True
+        platform = fleet.platform
+        reader = host in readers(fleet.hosts[host].board, ZONES[host])
+        if reader and platform.table_up:
+            return True
+        if reader and platform.objects_up and self.recorded >= served:
+            return True
+        started_s = fleet.hosts[host].reader.started_s
+        chosen = readers(fleet.hosts[host].board, ZONES[host])
+        if any(
+            self.polled_s[item] > started_s and (host, item) not in fleet.cuts
+            for item in chosen
+            if item != host
+        ):
+            return True
+        if self.reached[host] and self.reached[host] <= self.reachable(host):
+            return True
+        if self.is_lonely(host):
+            return True
+        return any(
+            (host, served, name, generation) in fleet.acknowledged
+            for name, generation in self.reachable(host)
+        )
+
+    def reachable(self, host):
+        """The processes that a host reaches."""
+        return {
+            (name, other.generation)
+            for name, other in self.fleet.hosts.items()
+            if name != host and (host, name) not in self.fleet.cuts
+        }
+
+    def is_lonely(self, host):
+        """Whether nobody could tell anything, so that the host has to wait."""
+        platform = self.fleet.platform
+        if platform.table_up or platform.objects_up:
+            return False
+        return all(
+            self.fleet.hosts[name].keeper.line.floor is None
+            for name, _ in self.reachable(host)
+        )
+
+    def all_serve_the_first_revision(self):
+        self.change(set(ZONES), (True, True))
+        assert all(host.board.active for host in self.fleet.hosts.values())
+
+    def change(self, hosts, afterwards):
+        """A commit that reaches some hosts before an outage."""
+        self.fleet.platform.table_up = True
+        self.commit()
+        for host in sorted(hosts):
+            self.update(host, 0)
+        self.platform(afterwards)
+
+    def restart(self, hosts, seconds, age):
+        """Some hosts restart, and hear of any revision next."""
+        for host in sorted(hosts):
+            self.fleet.start(host)
+            self.polled_s[host] = -1.0
+        self.fleet.clock.passed_s += seconds
+        for host in sorted(hosts):
+            self.update(host, age)
+
+    def lone_change(self, host, outage, age):
+        """A change reaches one host alone, which restarts during an outage."""
+        self.change({host}, outage)
+        self.restart({host}, 3, age)
+
+    def update(self, host, age):
+        self.find_floor(host)
+        self.a_revision_arrives(host, age)
+        self.activate(host)
+        self.never_older()
+
+    def commit(self):
+        self.committed += 1
+        head = Head(self.committed, f"digest-{self.committed}")
+        platform = self.fleet.platform
+        version = platform.rows[HEAD_ROW].version if platform.rows else 0
+        assert platform.swap(HEAD_ROW, encode_head(head), version)
+        if platform.objects_up:
+            self.run(put_committed(platform, head))
+            self.recorded = self.committed
+
+    def a_revision_arrives(self, host, age):
+        """Any committed revision, so that updates cross."""
+
+        async def arrive():
+            revision = max(1, self.committed - age)
+            take(self.fleet.hosts[host].keeper, empty_revision(revision), "")
+
+        self.run(arrive())
+
+    def activate(self, host):
+        keeper = self.fleet.hosts[host].keeper
+        self.run(activate_staged(keeper))
+
+    def read(self, host):
+        began_s = self.fleet.clock.monotonic_s()
+        reader = self.fleet.hosts[host].reader
+        if reader.keeper.line.floor is None:
+            return
+        self.run(poll(reader))
+        if self.fleet.platform.table_up:
+            self.polled_s[host] = began_s
+
+    def find_floor(self, host):
+        reader = self.fleet.hosts[host].reader
+        if reader.keeper.line.floor is not None or not self.is_covered(host):
+            return
+        began_s = self.fleet.clock.monotonic_s()
+        self.run(settle(reader))
+        if reader.board.head_read_s is not None:
+            self.polled_s[host] = began_s
+
+    def time_passes(self, seconds):
+        self.fleet.clock.passed_s += seconds
+
+    def cut(self, host, others, asymmetric):
+        self.fleet.cuts = {(host, other) for other in others}
+        if not asymmetric:
+            self.fleet.cuts |= {(other, host) for other in others}
+
+    def platform(self, state):
+        platform = self.fleet.platform
+        platform.table_up, platform.objects_up = state
+
+    def never_older(self):
+        for name, host in self.fleet.hosts.items():
+            active = host.board.active
+            if active is None:
+                continue
+            assert active.revision >= self.served[name]
+            if active.revision > self.served[name]:
+                self.reached[name] = self.reachable(name)
+            self.served[name] = active.revision
+
+
+def step(model, chance):
+    """Do one thing of those that can happen."""
+    host = chance.choice(sorted(ZONES))
+    some = set(chance.sample(sorted(ZONES), chance.randint(1, 3)))
+    age = chance.choice(AGES)
+    actions = (
+        lambda: model.change(some, chance.choice(OUTAGES)),
+        lambda: model.restart(some, chance.choice((0, 3)), age),
+        lambda: model.lone_change(host, chance.choice(OUTAGES), age),
+        lambda: model.restart(set(ZONES), 3, age),
+        lambda: model.update(host, age),
+        lambda: model.a_revision_arrives(host, age),
+        lambda: model.activate(host),
+        lambda: model.read(host),
+        lambda: model.find_floor(host),
+        lambda: model.time_passes(chance.randint(1, 4)),
+        lambda: model.cut(host, some - {host}, chance.random() < 0.5),
+        lambda: model.cut(host, set(), False),
+        lambda: model.platform(chance.choice(OUTAGES)),
+    )
+    chance.choice(actions)()
+    model.never_older()
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(seed=integers(0, 2**32))
+def test_no_host_serves_an_older_revision(seed):
+    model = Model()
+    chance = random.Random(seed)
+    try:
+        model.all_serve_the_first_revision()
+        for _ in range(STEPS):
+            step(model, chance)
+    finally:
+        model.close()
