--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -22,15 +22,22 @@
     PLATFORM_BACK = (211, "The platform answers again.")
     FLOOR_KNOWN = (212, "A restarted node learned the lowest revision to serve.")
     MEMBER_CHANGED = (300, "The view of a host changed.")
+    MEMBER_REFUTED = (301, "This host refuted another host's word about it.")
+    NODE_JOINED = (302, "This host's entry began to count in the fleet.")
+    ZONE_REACH = (303, "The set of availability zones out of reach changed.")
     UPSTREAM_ANNOUNCED = (310, "An upstream announced itself to its host's node.")
     UPSTREAM_WITHDRAWN = (311, "An upstream left or its heartbeat lapsed.")
     UPSTREAM_DRAINING = (312, "An upstream takes no new work.")
+    DRAIN_ASKED = (313, "An operator began or ended a drain.")
     CALL_NOT_RUN = (400, "A call was refused before any of it ran.")
     CALL_UNKNOWN = (401, "It is unknown whether a call ran.")
+    CALL_FAILED = (402, "An upstream answered a call with a server error.")
+    CALL_TRY_ENDED = (403, "One try of a call ended without an answer.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node sends the new version no more work.")
     MOVE_FINISHED = (502, "A move is done or reverted.")
     TASK_FAILED = (900, "A task failed and was started again.")
+    LIBRARY_WARNING = (901, "A library logged a warning.")
 
     @property
     def number(self) -> int:
--- a/agaterelay/ports.py
+++ b/agaterelay/ports.py
@@ -16,7 +16,7 @@
     NodeStatus,
     Notify,
 )
-from agaterelay.core.timeline import Stamp
+from agaterelay.core.timeline import EventsQuery
 
 
 class PlatformError(Exception):
@@ -92,7 +92,15 @@
 
 
 class PeerError(Exception):
-    """A peer did not answer, or refused; its message says which."""
+    """A peer did not answer, or refused; its message says which.
+
+    Attributes:
+        reached: Whether the peer itself refused, which shows that it is alive.
+    """
+
+    def __init__(self, message: str, reached: bool = False) -> None:
+        super().__init__(message)
+        self.reached = reached
 
 
 class Peers(Protocol):
@@ -116,8 +124,8 @@
     async def evidence(self, host: str, move: str) -> EvidenceReport:
         """Ask a host what it saw of a move."""
 
-    async def events(self, host: str, after: Stamp, most: int) -> EventsReport:
-        """Ask a host for its newest events."""
+    async def events(self, host: str, query: EventsQuery) -> EventsReport:
+        """Ask a host for its newest events that a query asks for."""
 
     async def status(self, host: str) -> NodeStatus:
         """Ask a host which revision it serves."""
--- a/agaterelay/tasks/committer.py
+++ b/agaterelay/tasks/committer.py
@@ -127,7 +127,7 @@
                     done, decision = await _try_swap(committer, attempt)
                 except PlatformError as error:
                     if attempt.doubt_version is None:
-                        raise NotCommittedError(f"not committed: {error}") from error
+                        raise NotCommittedError(str(error)) from error
                     done, reason = False, str(error)
                 if done:
                     return decision
@@ -136,8 +136,8 @@
     except TimeoutError:
         reason = f"no answer within {COMMIT_TIMEOUT_S:g} s"
     if attempt.doubt_version is not None:
-        raise CommitUnknownError(f"unknown whether committed: {reason}")
-    raise NotCommittedError(f"not committed: {reason}")
+        raise CommitUnknownError(reason)
+    raise NotCommittedError(reason)
 
 
 async def _try_swap(
