--- a/agaterelay/tasks/reader.py
+++ b/agaterelay/tasks/reader.py
@@ -26,7 +26,7 @@
 READERS_PER_ZONE = 2
 HEAD_ROW = "head"
 JOIN_WAIT_S = 2.0
-JOIN_POLL_S = 0.1
+JOIN_POLL_S = 0.02
 SETTLE_RETRY_S = 0.4
 ASK_ALL_AFTER_S = 2.0
 
