--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -18,6 +18,7 @@
     REVISION_REFUSED = (203, "A revision is invalid; the old one serves on.")
     REVISION_COMMITTED = (204, "A new revision was committed to the platform.")
     CHANGE_REFUSED = (205, "An operator's change was refused.")
+    PARTS_DAMAGED = (206, "A body does not match its digest; others are asked for it.")
     PLATFORM_LOST = (210, "The platform does not answer.")
     PLATFORM_BACK = (211, "The platform answers again.")
     FLOOR_KNOWN = (212, "A restarted node learned the lowest revision to serve.")
--- a/agaterelay/tasks/fetcher.py
+++ b/agaterelay/tasks/fetcher.py
@@ -19,6 +19,7 @@
 from agaterelay.core.news import Candidate
 from agaterelay.core.snapshot import build_snapshot
 from agaterelay.core.spread import Budget, spend
+from agaterelay.events import EventKind
 from agaterelay.ports import PeerError, PlatformError
 from agaterelay.tasks.board import Board, World
 
@@ -32,6 +33,7 @@
 SERVED_BYTES_PER_S = 16 << 20
 SERVED_BURST_BYTES = 4 << 20
 MAX_RETRY_S = 1.0
+MAX_REPORTED = 10
 
 
 class MissingPartsError(Exception):
@@ -168,7 +170,7 @@
         async with free:
             body = await world.objects.get(f"bodies/{digest}")
         if body is not None:
-            _keep(bodies, {digest: body})
+            _keep(world, bodies, OBJECT_STORE, {digest: body})
 
     answers = await asyncio.gather(*map(get, digests), return_exceptions=True)
     for answer in answers:
@@ -183,7 +185,7 @@
     missing = digests
     while missing:
         fetched = await world.peers.fetch(host, missing[:MAX_DIGESTS])
-        _keep(bodies, fetched.bodies)
+        _keep(world, bodies, host, fetched.bodies)
         if fetched.retry_after_s > 0:
             delay_s = min(fetched.retry_after_s, MAX_RETRY_S)
             await world.clock.sleep(delay_s * random.uniform(1.0, 2.0))
@@ -192,10 +194,20 @@
         missing = _missing(bodies, missing)
 
 
-def _keep(bodies: Bodies, fetched: dict[str, bytes]) -> None:
+def _keep(world: World, bodies: Bodies, place: str, fetched: dict[str, bytes]) -> None:
+    """Keep the bodies that match their digests; report the others together."""
+    damaged = []
     for digest, body in fetched.items():
         if digest_of(body) == digest:
             bodies.by_digest[digest] = body
+        else:
+            damaged.append(digest)
+    if damaged:
+        world.record(
+            EventKind.PARTS_DAMAGED,
+            place=place or "object store",
+            digests=damaged[:MAX_REPORTED],
+        )
 
 
 def serve_fetch(
--- a/agaterelay/tasks/witnesses.py
+++ b/agaterelay/tasks/witnesses.py
@@ -11,6 +11,7 @@
 
 SECOND_ROUND = 8
 FAR_WITNESSES = 2
+SLOW_WITNESS_S = 0.05
 
 
 def zone_peers(world: World, board: Board) -> list[str]:
@@ -47,6 +48,33 @@
     return [answer for answer in answers if isinstance(answer, FloorAnswer)]
 
 
+async def ask_until_answered(
+    world: World, board: Board, hosts: list[str], revision: int
+) -> list[FloorAnswer]:
+    """Ask hosts as ``ask_floors`` does, without waiting for the slowest.
+
+    Returns:
+        What was answered shortly after the first answer; empty where nobody answers.
+    """
+    own = board.own.host
+    waiting = {
+        asyncio.ensure_future(world.peers.witness(host, own, revision))
+        for host in hosts
+    }
+    answers: list[FloorAnswer] = []
+    while waiting:
+        timeout_s = SLOW_WITNESS_S if answers else None
+        done, waiting = await asyncio.wait(
+            waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        answers += [task.result() for task in done if task.exception() is None]
+        if not done:
+            break
+    for task in waiting:
+        task.cancel()
+    return answers
+
+
 async def find_witness(world: World, board: Board, revision: int) -> int:
     """Let at least one other host remember the revision, where any can be reached.
 
@@ -61,7 +89,7 @@
     first = [*near[:1], *far[:1]]
     rest = [*near[1:], *far[1:]]
     for hosts in (first, rest[:SECOND_ROUND], rest[SECOND_ROUND:]):
-        answers = await ask_floors(world, board, hosts, revision)
+        answers = await ask_until_answered(world, board, hosts, revision)
         if answers:
             return max(answer.witnessed for answer in answers)
     return 0
