--- a/agaterelay/tasks/reader.py
+++ b/agaterelay/tasks/reader.py
@@ -77,7 +77,10 @@
     await wait_for_peers(reader)
     while reader.keeper.line.floor is None:
         await settle(reader)
-        await world.clock.sleep(SETTLE_RETRY_S * random.uniform(0.5, 1.5))
+        delay_s = SETTLE_RETRY_S
+        if is_reader(reader.board, world.settings.zone):
+            delay_s = max(delay_s, world.settings.head_poll_s)
+        await world.clock.sleep(delay_s * random.uniform(0.5, 1.5))
     while True:
         if is_reader(reader.board, world.settings.zone):
             await poll(reader)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,6 +16,7 @@
 
 READS_PER_S = 2000
 WRITES_PER_S = 400
+MAX_NAMES = 1000
 
 
 @attrs.define
@@ -36,6 +37,7 @@
     counts: dict[str, int] = attrs.field(
         factory=lambda: {"reads": 0, "writes": 0, "refused": 0}
     )
+    reads_by_name: dict[str, int] = attrs.field(factory=dict)
     window_s: int = 0
     window: dict[str, int] = attrs.field(factory=dict)
     peak: dict[str, int] = attrs.field(factory=lambda: {"reads": 0, "writes": 0})
@@ -58,6 +60,8 @@
 
 async def serve_read(store: Store, name: str) -> web.Response:
     """Answer a read."""
+    if name in store.reads_by_name or len(store.reads_by_name) < MAX_NAMES:
+        store.reads_by_name[name] = store.reads_by_name.get(name, 0) + 1
     if not admit(store, "reads", READS_PER_S):
         return web.Response(status=429)
     if store.faults.delay_ms:
@@ -109,7 +113,11 @@
     async def show_counts(_: web.Request) -> web.Response:
         return web.json_response(
             {
-                name: {**store.counts, "peak": store.peak}
+                name: {
+                    **store.counts,
+                    "peak": store.peak,
+                    "reads_by_name": store.reads_by_name,
+                }
                 for name, store in stores.items()
             }
         )
