--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -35,6 +35,7 @@
 from agaterelay.tasks.calls import start_calls_server
 from agaterelay.tasks.committer import Committer
 from agaterelay.tasks.entry import Entry
+from agaterelay.tasks.fetcher import serve_fetch
 from agaterelay.tasks.gossip import (
     Gossip,
     serve_exchange,
@@ -43,8 +44,8 @@
 from agaterelay.tasks.keeper import (
     Keeper,
     post,
+    run_activation,
     run_keeper,
-    serve_fetch,
     serve_witness,
 )
 from agaterelay.tasks.mover import (
@@ -69,7 +70,7 @@
     run_probes,
     serve_probe_for,
 )
-from agaterelay.tasks.reader import run_reader
+from agaterelay.tasks.reader import Reader, run_reader
 from agaterelay.tasks.registry import Registry, run_registry
 from agaterelay.tasks.upstreams import Upstreams, run_upstreams
 
@@ -100,6 +101,7 @@
     world: World
     board: Board
     keeper: Keeper
+    reader: Reader
     gossip: Gossip
     prober: Prober
     upstreams: Upstreams
@@ -151,6 +153,7 @@
         world=world,
         board=board,
         keeper=keeper,
+        reader=Reader(world, board, keeper, clock.monotonic_s()),
         gossip=gossip,
         prober=Prober(gossip),
         upstreams=upstreams,
@@ -173,7 +176,9 @@
         exchange=lambda exchange: serve_exchange(node.gossip, exchange),
         probe_for=lambda host: serve_probe_for(node.gossip, host),
         notify=take_notify,
-        fetch=lambda digests: serve_fetch(node.keeper, digests),
+        fetch=lambda digests: serve_fetch(
+            node.keeper.bodies, digests, node.world.clock.monotonic_s()
+        ),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
         evidence=lambda move: serve_evidence(node.mover, move),
         events=lambda query: own_events(node.world, query),
@@ -261,7 +266,8 @@
 def _start_tasks(node: Node) -> list[asyncio.Task[None]]:
     starts: dict[str, Any] = {
         "keeper": lambda: run_keeper(node.keeper),
-        "reader": lambda: run_reader(node.world, node.board, node.keeper),
+        "activation": lambda: run_activation(node.keeper),
+        "reader": lambda: run_reader(node.reader),
         "registry": lambda: run_registry(Registry(node.gossip)),
         "probes": lambda: run_probes(node.prober),
         "news": lambda: run_news(node.prober),
--- a/agaterelay/tasks/operators/document.py
+++ b/agaterelay/tasks/operators/document.py
@@ -20,7 +20,7 @@
 from agaterelay.core.model import ChangeRecord, Finding, Manifest, Place, Section
 from agaterelay.core.parse import parse_document
 from agaterelay.events import EventKind
-from agaterelay.ports import PlatformError
+from agaterelay.ports import NotCommittedError, PlatformError
 from agaterelay.tasks.board import Board
 from agaterelay.tasks.committer import commit_change
 from agaterelay.tasks.operators.requests import (
@@ -108,6 +108,9 @@
     change = Change(change_id, section, base_digest, remove)
     try:
         decision = await commit_change(operators.committer, change, key)
+    except NotCommittedError as error:
+        message = f"the change was not made: {error}"
+        return refuse(503, "platform", message, change_id=change_id)
     except PlatformError as error:
         message = f"it is not known whether the change was made: {error}"
         return refuse(503, "platform", message, change_id=change_id)
--- a/agaterelay/tasks/operators/fleet.py
+++ b/agaterelay/tasks/operators/fleet.py
@@ -28,6 +28,7 @@
         platform_up=board.platform_up,
         stopping=board.stopping,
         activated_ms=board.activated_ms,
+        known_revision=board.known_revision,
     )
 
 
--- a/agaterelay/tasks/operators/moves.py
+++ b/agaterelay/tasks/operators/moves.py
@@ -7,7 +7,7 @@
 
 from agaterelay.core.manifest import plain
 from agaterelay.core.model import FINAL_MOVE_STATES, MoveState, Snapshot
-from agaterelay.ports import PlatformError
+from agaterelay.ports import NotCommittedError, PlatformError
 from agaterelay.tasks.committer import commit_move
 from agaterelay.tasks.operators.requests import Operators, key_is_of, key_of, refuse
 
@@ -47,6 +47,8 @@
     note = f"{name} taken back by an operator"
     try:
         record = await commit_move(operators.committer, taken_back, change_id, note)
+    except NotCommittedError as error:
+        return refuse(503, "platform", f"the move was not taken back: {error}")
     except PlatformError as error:
         message = f"it is not known whether the move was taken back: {error}"
         return refuse(503, "platform", message)
