--- a/demo/guild.py
+++ b/demo/guild.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from pathlib import Path
 
 from demo.story import ServicePart, Story, tell
@@ -28,7 +29,15 @@
             bad_version=True,
         ),
     ),
+    other_sections=(
+        ("stalls", "counter-team"),
+        ("scans", "archive-team"),
+        ("post", "post-team"),
+        ("ledgers", "ledger-team"),
+        ("office", "office-team"),
+    ),
+    edit=("timeout_ms: 3000", "timeout_ms: 2500"),
 )
 
 if __name__ == "__main__":
-    tell(STORY)
+    sys.exit(tell(STORY))
--- a/demo/siamsong.py
+++ b/demo/siamsong.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from pathlib import Path
 
 from demo.story import ServicePart, Story, tell
@@ -28,7 +29,15 @@
             bad_version=True,
         ),
     ),
+    other_sections=(
+        ("prompters", "cue-team"),
+        ("panel-control", "panel-team"),
+        ("rehearsal-archive", "archive-team"),
+        ("script-desk", "script-team"),
+        ("front-of-house", "house-team"),
+    ),
+    edit=("timeout_ms: 800", "timeout_ms: 700"),
 )
 
 if __name__ == "__main__":
-    tell(STORY)
+    sys.exit(tell(STORY))
