--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -13,6 +13,7 @@
 import attrs
 
 from agaterelay.adapters.clock import SystemClock
+from agaterelay.adapters.http import KEEP_ALIVE_S, open_session
 from agaterelay.adapters.log import (
     configure_log,
     make_recorder,
@@ -23,14 +24,13 @@
 from agaterelay.adapters.platform import PlatformClient
 from agaterelay.adapters.settings import Settings, load_settings
 from agaterelay.adapters.tls import load_credentials
-from agaterelay.client import KEEP_ALIVE_S
 from agaterelay.core.health import forget_upstreams
 from agaterelay.core.keys import KeyWindow
 from agaterelay.core.membership import Member
 from agaterelay.core.messages import Notify
 from agaterelay.core.timeline import Timeline, tick
 from agaterelay.events import EventKind
-from agaterelay.ports import Objects, Peers, Table
+from agaterelay.ports import Clock, Objects, Peers, Table
 from agaterelay.tasks.board import Board, Seen, World
 from agaterelay.tasks.calls import start_calls_server
 from agaterelay.tasks.committer import Committer
@@ -75,7 +75,6 @@
 
 PEER_TIMEOUT_S = 1.0
 RESTART_DELAY_S = 0.5
-UPSTREAM_CONNECTIONS = 130
 IN_FLIGHT_POLL_S = 0.02
 LEAVE_GRACE_S = 0.5
 TIDY_PERIOD_S = 10.0
@@ -91,6 +90,7 @@
     objects: Objects
     peers: Peers
     session: aiohttp.ClientSession
+    clock: Clock = attrs.field(factory=SystemClock)
 
 
 @attrs.frozen
@@ -111,7 +111,7 @@
 
 def build_node(settings: Settings, ports: Ports) -> Node:
     """Wire the tasks of a node together; nothing runs yet."""
-    clock = SystemClock()
+    clock = ports.clock
     timeline = Timeline(settings.peers_address, clock.now)
     world = World(
         settings=settings,
@@ -221,10 +221,7 @@
         settings.table_url, settings.objects_url, settings.platform_timeout_s
     )
     await platform.open()
-    connector = aiohttp.TCPConnector(
-        limit=0, limit_per_host=UPSTREAM_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S
-    )
-    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    session = open_session()
     tls = load_credentials(settings.tls) if settings.tls else None
     peers = PeerClient(PEER_TIMEOUT_S, tls.channel if tls else None)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
--- a/demo/story.py
+++ b/demo/story.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import time
 from collections import Counter
@@ -18,6 +17,7 @@
 from agaterelay.core.model import FINAL_MOVE_STATES, MoveState
 from agaterelay.core.outcome import Answered
 from demo.console import DemoError, converged_s, run_command, say
+from demo.interrupts import Interrupted, install_interrupts
 from standins.deployment import (
     ADMIN_KEY,
     Deployment,
@@ -41,7 +41,6 @@
 MOVE_TIMEOUT_S = 50.0
 WARM_UP_S = 2.0
 TIMELINE_LINES = 8
-TERMINATED = 143
 
 
 @attrs.frozen
@@ -274,9 +273,7 @@
 
 def tell(story: Story) -> int:
     """Run a story and print it; return the process's exit status."""
-    # A shell lets its background jobs ignore SIGINT; the demo never does.
-    signal.signal(signal.SIGINT, signal.default_int_handler)
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(TERMINATED))
+    install_interrupts()
     started_s = time.monotonic()
     print(f"== {story.title}")
     try:
@@ -284,8 +281,8 @@
     except (DemoError, TimeoutError) as error:
         print(f"\nFAILED: {error}", file=sys.stderr)
         return 1
-    except KeyboardInterrupt:
+    except Interrupted as interrupted:
         print("\ninterrupted; all processes are stopped", file=sys.stderr)
-        return 130
+        return interrupted.status
     say(f"All of it held; it took {time.monotonic() - started_s:.0f} s.")
     return 0
