--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -30,6 +30,7 @@
 from agaterelay.tasks.owner import Call, run_call
 
 MAX_REQUEST_BYTES = 1 << 20
+HTTP_MAJOR_VERSION = 1
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 504
 OWN_PATH = "/agaterelay/v1/"
@@ -106,6 +107,8 @@
 
     Every answer names the request that it belongs to.
     """
+    if request.version.major != HTTP_MAJOR_VERSION:
+        return respond(Answered(505, (), b"only HTTP/1 is spoken here\n"))
     damaged = find_damaged_header(request.headers)
     if damaged is not None:
         text = f"the header {damaged} holds bytes that are no text\n"
