--- a/agaterelay/adapters/log.py
+++ b/agaterelay/adapters/log.py
@@ -15,15 +15,14 @@
 Recorder = Callable[..., None]
 
 MAX_MESSAGE_LENGTH = 300
-LIMITED_KINDS = frozenset(
-    {
-        EventKind.CALL_NOT_RUN,
-        EventKind.CALL_UNKNOWN,
-        EventKind.CALL_FAILED,
-        EventKind.CALL_TRY_ENDED,
-        EventKind.LIBRARY_WARNING,
-    }
-)
+# A call may take several tries, each of which explains a part of how it ended.
+EVENTS_PER_S = {
+    EventKind.CALL_NOT_RUN: 20,
+    EventKind.CALL_UNKNOWN: 20,
+    EventKind.CALL_FAILED: 20,
+    EventKind.CALL_TRY_ENDED: 60,
+    EventKind.LIBRARY_WARNING: 20,
+}
 
 
 def configure_log() -> None:
@@ -45,11 +44,12 @@
     everything else out of the ring; the next one says how many were left out.
     """
     logger = structlog.get_logger()
-    limits = {kind: RateLimit() for kind in LIMITED_KINDS}
+    limits = {kind: RateLimit() for kind in EVENTS_PER_S}
 
     def record_event(kind: EventKind, **fields: Any) -> None:
         if kind in limits:
-            suppressed = take_place(limits[kind], timeline.now().timestamp())
+            now_s = timeline.now().timestamp()
+            suppressed = take_place(limits[kind], now_s, EVENTS_PER_S[kind])
             if suppressed is None:
                 return
             if suppressed:
--- a/agaterelay/core/timeline.py
+++ b/agaterelay/core/timeline.py
@@ -137,9 +137,16 @@
     suppressed: int = 0
 
 
-def take_place(limit: RateLimit, now_s: float) -> int | None:
+def take_place(
+    limit: RateLimit, now_s: float, most_per_s: int = LIMITED_EVENTS_PER_S
+) -> int | None:
     """Ask whether one more event may be recorded in this second.
 
+    Args:
+        limit: What was recorded so far.
+        now_s: The present time.
+        most_per_s: How many events a second are recorded.
+
     Returns:
         How many were left out since the last one that was recorded, None where this
         one is to be left out, too.
@@ -148,7 +155,7 @@
     if second != limit.second:
         limit.second = second
         limit.recorded = 0
-    if limit.recorded >= LIMITED_EVENTS_PER_S:
+    if limit.recorded >= most_per_s:
         limit.suppressed += 1
         return None
     limit.recorded += 1
--- a/agaterelay/tasks/operators/document.py
+++ b/agaterelay/tasks/operators/document.py
@@ -109,7 +109,7 @@
     try:
         decision = await commit_change(operators.committer, change, key)
     except PlatformError as error:
-        message = f"it is not known whether the change was made: {error}"
+        message = f"the platform does not answer: {error}"
         return refuse(503, "platform", message, change_id=change_id)
     return _respond_decision(operators, change_id, decision)
 
