--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -26,6 +26,7 @@
 from agaterelay.core.model import Priority
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.core.retry import parse_retries
+from agaterelay.core.route_view import plain_view, view_of
 from agaterelay.tasks.entry import Entry, Request, handle_request, mint_keys
 from agaterelay.tasks.owner import Call, run_call
 
@@ -144,8 +145,22 @@
 
 def _answer_library(entry: Entry, request: web.BaseRequest) -> web.Response:
     """Answer what the caller library asks of a node."""
-    if request.path != OWN_PATH + "keys" or request.method != "POST":
-        return web.json_response({"error": "no such resource"}, status=404)
+    if request.path == OWN_PATH + "routes" and request.method == "GET":
+        return _answer_routes(entry)
+    if request.path == OWN_PATH + "keys" and request.method == "POST":
+        return _answer_keys(entry, request)
+    return web.json_response({"error": "no such resource"}, status=404)
+
+
+def _answer_routes(entry: Entry) -> web.Response:
+    board = entry.board
+    if board.active is None or board.stopping:
+        return web.json_response({"error": "this node serves nothing"}, status=503)
+    view = view_of(board.active, board.own, board.members, board.brakes)
+    return web.json_response(plain_view(view))
+
+
+def _answer_keys(entry: Entry, request: web.BaseRequest) -> web.Response:
     method = request.query.get("method", "POST")
     count = request.query.get("count", "1")
     if not count.isdecimal() or len(count) > 3:
@@ -194,7 +209,7 @@
         service=headers.get(SERVICE_HEADER, ""),
         version=headers.get(VERSION_HEADER, ""),
         request_id=headers.get(REQUEST_ID_HEADER, ""),
-        deadline_s=entry.world.clock.monotonic_s() + left_s,
+        deadline_s=entry.clock.monotonic_s() + left_s,
         key=parse_key(headers.get(KEY_HEADER, "")),
         idempotent=headers.get(IDEMPOTENT_HEADER) == "1",
         priority=Priority.BULK if bulk else Priority.INTERACTIVE,
@@ -216,9 +231,9 @@
     """
 
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
-        started_s = entry.world.clock.monotonic_s()
+        started_s = entry.clock.monotonic_s()
         response = await handle(entry, request)
-        observe(request, response, entry.world.clock.monotonic_s() - started_s)
+        observe(request, response, entry.clock.monotonic_s() - started_s)
         return response
 
     runner = web.ServerRunner(
