--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -63,8 +63,9 @@
     targets_of,
     version_shares,
 )
+from agaterelay.events import EventKind
 from agaterelay.ports import Clock
-from agaterelay.tasks.board import Board
+from agaterelay.tasks.board import Board, World
 from agaterelay.tasks.owner import Call, Owner, run_call
 
 MAX_KEYS_AT_ONCE = 64
@@ -101,8 +102,6 @@
     health: Health = attrs.field(factory=Health)
     index: TargetIndex = attrs.field(factory=TargetIndex)
     tokens: RetryTokens = attrs.field(factory=RetryTokens)
-    events: int = 0
-    events_second: int = 0
 
 
 async def handle_request(entry: Entry, request: Request) -> Outcome:
@@ -293,6 +292,8 @@
         now_s = entry.clock.monotonic_s()
         latency_ms = (now_s - started_s) * 1000
         observe(entry.health, target, outcome, latency_ms, now_s)
+        if not isinstance(outcome, Answered) and entry.owner is not None:
+            _note_try(entry.owner.world, call, target, outcome, latency_ms)
         return outcome
     finally:
         entry.in_flight[address] -= 1
@@ -300,6 +301,23 @@
             del entry.in_flight[address]
 
 
+def _note_try(
+    world: World, call: Call, target: Target, outcome: Outcome, latency_ms: float
+) -> None:
+    """Record a try that ended without an answer; the time line explains calls by it."""
+    world.record(
+        EventKind.CALL_TRY_ENDED,
+        request_id=call.request_id,
+        route=call.route,
+        owner=target.host,
+        upstream=target.upstream.address,
+        version=call.version,
+        outcome=type(outcome).__name__,
+        reason=outcome.reason,
+        elapsed_ms=round(latency_ms, 1),
+    )
+
+
 def hop_headers(call: Call, left_ms: int) -> list[tuple[str, str]]:
     """Return the headers of a call on its way to the owner of an upstream."""
     headers = [
