Judge moves by windows of evidence, and make a step name its base

Cause: a move's rule was a placeholder. It compared totals since the move began, so a version that fails late was diluted by its good past, and errors common to both versions were told apart only by a fixed factor. A paused stepper could write a stale progress over a final one, and a brake of an earlier move of the same name held a later one.

--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -85,13 +85,10 @@
         )
         return (await self._call(host, "Witness", request)).floor
 
-    async def evidence(self, host: str, move: str) -> EvidenceReport:
-        """Ask a host what it saw of a move."""
-        request = pb.EvidenceRequest(protocol=wire.PROTOCOL, move=move)
-        reply = await self._call(host, "Evidence", request)
-        return EvidenceReport(
-            wire.evidence_from_wire(reply.routes), wire.brakes_from_wire(reply.brakes)
-        )
+    async def evidence(self, host: str, trial: str) -> EvidenceReport:
+        """Ask a host what it saw of a trial of a move."""
+        request = pb.EvidenceRequest(protocol=wire.PROTOCOL, trial=trial)
+        return wire.evidence_from_wire(await self._call(host, "Evidence", request))
 
     async def events(self, host: str, after: Stamp, most: int) -> EventsReport:
         """Ask a host for its newest events."""
@@ -174,11 +171,7 @@
     async def Evidence(self, request, context):  # noqa: N802
         """Tell what this node saw of a move."""
         await self._check(request, context)
-        report = self._handlers.evidence(request.move)
-        return pb.EvidenceReply(
-            routes=wire.evidence_to_wire(report.evidence),
-            brakes=wire.brakes_to_wire(report.brakes),
-        )
+        return wire.evidence_to_reply(self._handlers.evidence(request.trial))
 
     async def Events(self, request, context):  # noqa: N802
         """Hand out events."""
--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -6,9 +6,15 @@
 
 import attrs
 
-from agaterelay.core.evidence import Evidence, Tally
+from agaterelay.core.evidence import BUCKET_COUNT, Report, Tally, Window, Windows
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
-from agaterelay.core.messages import Brake, Exchange, NodeStatus, Notify
+from agaterelay.core.messages import (
+    Brake,
+    EvidenceReport,
+    Exchange,
+    NodeStatus,
+    Notify,
+)
 from agaterelay.core.model import Head
 from agaterelay.core.timeline import Event, Stamp
 from agaterelay.proto import peer_pb2 as pb
@@ -94,7 +100,9 @@
     """Return the messages of brakes."""
     return [
         pb.Brake(
-            move=item.move, reason=item.reason, first_failure_ms=item.first_failure_ms
+            trial=item.trial,
+            reason=item.reason,
+            first_failure_ms=item.first_failure_ms,
         )
         for item in brakes
     ]
@@ -103,7 +111,7 @@
 def brakes_from_wire(messages: object) -> tuple[Brake, ...]:
     """Return the brakes of messages."""
     return tuple(
-        Brake(item.move, item.reason, item.first_failure_ms) for item in messages
+        Brake(item.trial, item.reason, item.first_failure_ms) for item in messages
     )
 
 
@@ -171,30 +179,47 @@
     )
 
 
-def evidence_to_wire(evidence: Evidence) -> list[pb.RouteEvidence]:
-    """Return the messages of evidence."""
-    return [
-        pb.RouteEvidence(
-            route=route,
-            version=version,
-            calls=tally.calls,
-            failures=tally.failures,
-            latency_buckets=tally.latency_buckets,
-        )
-        for (route, version), tally in evidence.items()
-    ]
+def evidence_to_reply(report: EvidenceReport) -> pb.EvidenceReply:
+    """Return the reply of a report."""
+    seen = report.report
+    return pb.EvidenceReply(
+        routes=[
+            pb.RouteEvidence(
+                route=route,
+                version=version,
+                calls=tally.calls,
+                failures=tally.failures,
+                latency_buckets=tally.latency_buckets,
+                window=window,
+            )
+            for window, evidence in seen.windows.items()
+            for (route, version), tally in evidence.items()
+        ],
+        brakes=brakes_to_wire(report.brakes),
+        trial=seen.trial,
+        step=seen.step,
+        first_failure_ms=seen.first_failure_ms,
+        age_s=seen.age_s,
+    )
 
 
-def evidence_from_wire(messages: object) -> Evidence:
-    """Return the evidence of messages; tallies of another shape are left out."""
-    size = len(Tally().latency_buckets)
-    return {
-        (item.route, item.version): Tally(
-            item.calls, item.failures, tuple(item.latency_buckets)
-        )
-        for item in messages
-        if len(item.latency_buckets) == size
-    }
+def evidence_from_wire(message: pb.EvidenceReply) -> EvidenceReport:
+    """Return the report of a reply; tallies that do not make sense are left out."""
+    windows: Windows = {window: {} for window in Window}
+    for item in message.routes:
+        sane = len(item.latency_buckets) == BUCKET_COUNT
+        if sane and item.window in windows and 0 <= item.failures <= item.calls:
+            key = (item.route, item.version)
+            tally = Tally(item.calls, item.failures, tuple(item.latency_buckets))
+            windows[Window(item.window)][key] = tally
+    report = Report(
+        trial=message.trial,
+        step=message.step,
+        windows=windows,
+        first_failure_ms=message.first_failure_ms,
+        age_s=message.age_s,
+    )
+    return EvidenceReport(report, brakes_from_wire(message.brakes))
 
 
 def event_to_wire(event: Event) -> pb.Event:
--- a/agaterelay/core/commit.py
+++ b/agaterelay/core/commit.py
@@ -13,8 +13,10 @@
 
 import attrs
 
+from agaterelay.core.lifecycle import is_allowed
 from agaterelay.core.manifest import digest_of
 from agaterelay.core.model import (
+    FINAL_MOVE_STATES,
     ChangeRecord,
     Finding,
     Manifest,
@@ -26,6 +28,7 @@
     Snapshot,
 )
 from agaterelay.core.snapshot import ADMIN_OWNER, assemble
+from agaterelay.core.steps import take_back
 
 CHANGES_KEPT = 128
 
@@ -206,7 +209,8 @@
         == (move.service, move.from_version, move.to_version)
     )
     if same:
-        if move.finish_by is not None:
+        final = progress.state in FINAL_MOVE_STATES
+        if move.finish_by is not None and not final:
             return attrs.evolve(progress, finish_by=move.finish_by)
         return progress
     finish_by = move.finish_by or now + timedelta(seconds=move.finish_within_s or 0)
@@ -220,18 +224,36 @@
     )
 
 
+def _find_change(manifest: Manifest, change_id: str) -> ChangeRecord | None:
+    found = (item for item in manifest.changes if item.change_id == change_id)
+    return next(found, None)
+
+
 def plan_move_update(
-    snapshot: Snapshot, progress: MoveProgress, change_id: str, note: str, now: datetime
+    snapshot: Snapshot,
+    base: MoveProgress,
+    following: MoveProgress,
+    change_id: str,
+    now: datetime,
 ) -> Accepted | AlreadyCommitted | None:
     """Plan the revision that records a move's new state.
 
+    Args:
+        snapshot: The newest committed revision.
+        base: The progress that the new state was decided on.
+        following: The new state.
+        change_id: What tells a repeated request from a new one.
+        now: The time of the commit.
+
     Returns:
-        What to commit, or None where the move is no longer in the document.
+        What to commit, or None where the move is gone, final, or no longer at the
+        progress that the decision was made on: a stale decision has no effect.
     """
-    for record in snapshot.manifest.changes:
-        if record.change_id == change_id:
-            return AlreadyCommitted(record)
-    if progress.name not in snapshot.progress:
+    earlier = _find_change(snapshot.manifest, change_id)
+    if earlier is not None:
+        return AlreadyCommitted(earlier)
+    committed = snapshot.progress.get(base.name)
+    if committed != base or not is_allowed(committed.state, following.state):
         return None
     record = ChangeRecord(
         change_id=change_id,
@@ -239,10 +261,10 @@
         section="",
         owner="",
         committed_at=now,
-        note=note,
+        note=f"{following.name} {following.state} {following.share_permille} permille",
     )
     moves = tuple(
-        progress if item.name == progress.name else item
+        following if item.name == following.name else item
         for item in snapshot.manifest.moves
     )
     manifest = attrs.evolve(
@@ -255,6 +277,24 @@
     return Accepted(manifest, record)
 
 
+def plan_take_back(
+    snapshot: Snapshot, move: str, reason: str, change_id: str, now: datetime
+) -> Accepted | AlreadyCommitted | None:
+    """Plan the revision in which an operator takes a move back, wherever it stands.
+
+    Returns:
+        What to commit, or None where the move is gone or final.
+    """
+    earlier = _find_change(snapshot.manifest, change_id)
+    if earlier is not None:
+        return AlreadyCommitted(earlier)
+    committed = snapshot.progress.get(move)
+    following = take_back(committed, reason, now) if committed else None
+    if following is None:
+        return None
+    return plan_move_update(snapshot, committed, following, change_id, now)
+
+
 def empty_snapshot(now: datetime) -> Snapshot:
     """Return revision 0: the document before anybody wrote anything."""
     return Snapshot(manifest=Manifest(revision=0, committed_at=now), digest="")
@@ -274,4 +314,5 @@
     "key_matches",
     "plan_commit",
     "plan_move_update",
+    "plan_take_back",
 ]
--- a/agaterelay/core/evidence.py
+++ b/agaterelay/core/evidence.py
@@ -1,47 +1,225 @@
-"""What calls showed of the versions of a service, by route."""
+"""What calls showed of the versions of a service, by route and by window of time.
+
+The old and the new version are only ever compared inside one window, so an error that
+strikes both says nothing about the new one. A node keeps its tallies in slots of a few
+seconds. A restarted node begins with none, for both versions alike.
+"""
 
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections import deque
 from collections.abc import Iterable
+from enum import StrEnum
 
 import attrs
 
 # Upper bounds of the latency buckets in milliseconds; the last bucket is open.
 LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+BUCKET_COUNT = len(LATENCY_BOUNDS_MS) + 1
+SLOT_S = 1.0
+SHORT_WINDOW_S = 4.0
+MEDIUM_WINDOW_S = 20.0
+
+
+class Window(StrEnum):
+    """The spans of time over which calls are summed."""
+
+    SHORT = "short"
+    MEDIUM = "medium"
+    STEP = "step"
+    TRIAL = "trial"
 
 
 @attrs.frozen
 class Tally:
-    """Calls of one route on one version."""
+    """Calls of one route on one version.
+
+    The latency buckets leave out calls whose latency says nothing, such as those on
+    an upstream that has just started.
+    """
 
     calls: int = 0
     failures: int = 0
-    latency_buckets: tuple[int, ...] = (0,) * (len(LATENCY_BOUNDS_MS) + 1)
+    latency_buckets: tuple[int, ...] = (0,) * BUCKET_COUNT
 
 
 # Tallies by (route, version).
 Evidence = dict[tuple[str, str], Tally]
+Windows = dict[Window, Evidence]
+
+
+@attrs.frozen
+class Report:
+    """What one node saw of a trial.
+
+    ``step`` is the one that its STEP window covers, and ``age_s`` the time for which
+    the node has counted.
+    """
+
+    trial: str
+    step: int = 0
+    windows: Windows = attrs.field(factory=dict)
+    first_failure_ms: int = 0
+    age_s: float = 0.0
 
 
-def count_call(tally: Tally, failed: bool, latency_ms: float) -> Tally:
-    """Return the tally with one more call."""
-    bucket = bisect_left(LATENCY_BOUNDS_MS, latency_ms)
-    buckets = list(tally.latency_buckets)
-    buckets[bucket] += 1
-    return Tally(tally.calls + 1, tally.failures + int(failed), tuple(buckets))
+@attrs.define
+class Slot:
+    """The calls of one slot of time under one step."""
+
+    number: int
+    step: int
+    evidence: Evidence = attrs.field(factory=dict)
+
+
+@attrs.define
+class Ledger:
+    """One node's tallies of one trial.
+
+    A trial is a move from its beginning, or from the last alarm that was cleared.
+    ``frozen`` keeps the windows of the moment at which the trial was braked: no later
+    call dilutes what they showed, however long the take-back has to wait.
+    """
+
+    trial: str
+    began_s: float
+    step: int = 0
+    slots: deque[Slot] = attrs.field(factory=deque)
+    step_total: Evidence = attrs.field(factory=dict)
+    trial_total: Evidence = attrs.field(factory=dict)
+    first_failure_ms: int = 0
+    frozen: Windows | None = None
+
+
+def count_call(
+    tally: Tally, failed: bool, latency_ms: float | None, calls: int = 1
+) -> Tally:
+    """Return the tally with more calls of one kind."""
+    buckets = tally.latency_buckets
+    if latency_ms is not None:
+        index = bisect_left(LATENCY_BOUNDS_MS, latency_ms)
+        buckets = (*buckets[:index], buckets[index] + calls, *buckets[index + 1 :])
+    return Tally(tally.calls + calls, tally.failures + calls * failed, buckets)
+
+
+def add_tallies(left: Tally, right: Tally) -> Tally:
+    """Return the sum of two tallies."""
+    pairs = zip(left.latency_buckets, right.latency_buckets, strict=True)
+    return Tally(
+        left.calls + right.calls,
+        left.failures + right.failures,
+        tuple(first + second for first, second in pairs),
+    )
 
 
 def add_evidence(parts: Iterable[Evidence]) -> Evidence:
-    """Return the sum of what several nodes saw."""
+    """Return the sum of what several nodes or slots saw."""
     total: Evidence = {}
     for part in parts:
         for key, tally in part.items():
-            known = total.get(key, Tally())
-            buckets = zip(known.latency_buckets, tally.latency_buckets, strict=True)
-            total[key] = Tally(
-                known.calls + tally.calls,
-                known.failures + tally.failures,
-                tuple(left + right for left, right in buckets),
-            )
+            known = total.get(key)
+            total[key] = add_tallies(known, tally) if known else tally
     return total
+
+
+def add_windows(parts: Iterable[Windows]) -> Windows:
+    """Return the sum of what several nodes saw, window by window."""
+    parts = list(parts)
+    return {
+        window: add_evidence(part.get(window, {}) for part in parts)
+        for window in Window
+    }
+
+
+def begin_step(ledger: Ledger, step: int) -> None:
+    """Begin the STEP window anew where the move has taken a further step."""
+    if step <= ledger.step:
+        return
+    _fold(ledger, len(ledger.slots))
+    ledger.step = step
+    ledger.step_total = {}
+    ledger.first_failure_ms = 0
+
+
+def note_calls(
+    ledger: Ledger,
+    key: tuple[str, str],
+    failed: bool,
+    latency_ms: float | None,
+    now_s: float,
+    calls: int = 1,
+) -> None:
+    """Count calls of one kind.
+
+    Args:
+        ledger: The node's tallies of the trial.
+        key: The route and the version.
+        failed: Whether the calls failed.
+        latency_ms: How long each took, None where that says nothing.
+        now_s: The present time in seconds, on any steady scale.
+        calls: How many there were.
+    """
+    number = int(now_s / SLOT_S)
+    if not ledger.slots or ledger.slots[-1].number < number:
+        _fold(ledger, _expired(ledger, number))
+        ledger.slots.append(Slot(number, ledger.step))
+    evidence = ledger.slots[-1].evidence
+    known = evidence.get(key, Tally())
+    evidence[key] = count_call(known, failed, latency_ms, calls)
+
+
+def _expired(ledger: Ledger, number: int) -> int:
+    first = number - int(MEDIUM_WINDOW_S / SLOT_S)
+    return sum(slot.number < first for slot in ledger.slots)
+
+
+def _fold(ledger: Ledger, count: int) -> None:
+    """Move the oldest slots into the totals."""
+    for _ in range(count):
+        slot = ledger.slots.popleft()
+        ledger.trial_total = add_evidence((ledger.trial_total, slot.evidence))
+        if slot.step == ledger.step:
+            ledger.step_total = add_evidence((ledger.step_total, slot.evidence))
+
+
+def windows_of(ledger: Ledger, now_s: float) -> Windows:
+    """Return the sums over each window that ends now."""
+    if ledger.frozen is not None:
+        return ledger.frozen
+    number = int(now_s / SLOT_S)
+    slots = [slot.evidence for slot in ledger.slots]
+    return {
+        Window.SHORT: _sum_newer(ledger, number - int(SHORT_WINDOW_S / SLOT_S)),
+        Window.MEDIUM: _sum_newer(ledger, number - int(MEDIUM_WINDOW_S / SLOT_S)),
+        Window.STEP: add_evidence((ledger.step_total, *slots)),
+        Window.TRIAL: add_evidence((ledger.trial_total, *slots)),
+    }
+
+
+def _sum_newer(ledger: Ledger, number: int) -> Evidence:
+    return add_evidence(slot.evidence for slot in ledger.slots if slot.number > number)
+
+
+def freeze(ledger: Ledger, now_s: float) -> None:
+    """Keep the windows as they are now."""
+    if ledger.frozen is None:
+        ledger.frozen = windows_of(ledger, now_s)
+
+
+def report_of(ledger: Ledger, now_s: float) -> Report:
+    """Return what a node tells of its tallies."""
+    return Report(
+        trial=ledger.trial,
+        step=ledger.step,
+        windows=windows_of(ledger, now_s),
+        first_failure_ms=ledger.first_failure_ms,
+        age_s=now_s - ledger.began_s,
+    )
+
+
+def calls_of(evidence: Evidence, version: str | None = None) -> int:
+    """Return the number of calls, of one version or of all."""
+    return sum(
+        tally.calls for key, tally in evidence.items() if version in (None, key[1])
+    )
--- a/agaterelay/core/messages.py
+++ b/agaterelay/core/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from agaterelay.core.evidence import Evidence
+from agaterelay.core.evidence import Report
 from agaterelay.core.membership import Member
 from agaterelay.core.model import Head
 from agaterelay.core.timeline import Event, Stamp
@@ -12,9 +12,9 @@
 
 @attrs.frozen
 class Brake:
-    """A move whose new version a node sends no more work."""
+    """A trial of a move whose new version a node sends no more work."""
 
-    move: str
+    trial: str
     reason: str
     first_failure_ms: int
 
@@ -52,9 +52,9 @@
 
 @attrs.frozen
 class EvidenceReport:
-    """What one node saw of a move."""
+    """What one node saw of a trial, and the brakes it holds on it."""
 
-    evidence: Evidence
+    report: Report
     brakes: tuple[Brake, ...] = ()
 
 
--- a/agaterelay/core/model.py
+++ b/agaterelay/core/model.py
@@ -129,6 +129,8 @@
     """How far a move has come; every change of it is a new revision.
 
     ``share_permille`` is the part of the service's calls that go to the new version.
+    ``step`` counts the changes; a change is planned against the one before it and has
+    no effect on any other. ``cleared`` counts the alarms that turned out to be false.
     """
 
     name: str
@@ -145,6 +147,19 @@
     first_failure_at: datetime | None = None
     calls_harmed: int = 0
     late: bool = False
+    late_reason: str = ""
+    step: int = 0
+    cleared: int = 0
+
+    @property
+    def identity(self) -> str:
+        """What tells this move from a later one of the same name."""
+        return f"{self.name}:{int(self.started_at.timestamp() * 1000)}"
+
+    @property
+    def trial(self) -> str:
+        """What evidence and brakes belong to; a cleared alarm begins a new trial."""
+        return f"{self.identity}:{self.cleared}"
 
 
 @attrs.frozen
--- a/agaterelay/core/routing.py
+++ b/agaterelay/core/routing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 import attrs
 
@@ -34,15 +34,25 @@
     return None
 
 
-def version_shares(snapshot: Snapshot, service: str) -> dict[str, int]:
-    """Return how a service's calls are shared between versions, in permille."""
+def version_shares(
+    snapshot: Snapshot, service: str, braked: Container[str] = ()
+) -> dict[str, int]:
+    """Return how a service's calls are shared between versions, in permille.
+
+    Args:
+        snapshot: The revision that is served.
+        service: The service.
+        braked: The trials whose new versions get no work from this node.
+    """
     stable = snapshot.services[service].version
     for progress in snapshot.progress.values():
         if progress.service != service:
             continue
         if progress.state is MoveState.DONE:
             return {progress.to_version: PERMILLE}
-        if progress.state not in FINAL_MOVE_STATES and progress.share_permille:
+        if progress.state in FINAL_MOVE_STATES or progress.trial in braked:
+            continue
+        if progress.share_permille:
             share = progress.share_permille
             return {
                 progress.to_version: share,
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -30,6 +30,7 @@
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node sends the new version no more work.")
     MOVE_FINISHED = (502, "A move is done or reverted.")
+    MOVE_SUPERSEDED = (503, "A step had no effect; the move was elsewhere already.")
     TASK_FAILED = (900, "A task failed and was started again.")
 
     @property
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -25,12 +25,14 @@
 from agaterelay.events import EventKind
 from agaterelay.ports import Objects, Peers, Table
 from agaterelay.tasks.board import Board, Seen, World
+from agaterelay.tasks.brakes import Braker, run_brakes, run_spread, take_brakes
 from agaterelay.tasks.calls import start_calls_server
 from agaterelay.tasks.committer import Committer
 from agaterelay.tasks.entry import Entry
 from agaterelay.tasks.gossip import (
     Gossip,
     leave,
+    probe_once,
     run_gossip,
     serve_exchange,
     serve_probe_for,
@@ -44,13 +46,7 @@
     serve_fetch,
     serve_witness,
 )
-from agaterelay.tasks.mover import (
-    Mover,
-    run_brakes,
-    run_mover,
-    serve_evidence,
-    take_brakes,
-)
+from agaterelay.tasks.mover import Mover, run_mover, serve_evidence
 from agaterelay.tasks.operators import (
     Operators,
     own_events,
@@ -120,12 +116,13 @@
     keeper = Keeper(world, board)
     committer = Committer(world, board, keeper)
     owner = Owner(world, board, KeyWindow(incarnation), ports.session)
-    mover = Mover(world, board, owner, committer)
+    braker = Braker(world, board, owner.tallies)
+    mover = Mover(world, board, owner.tallies, braker, committer)
     gossip = Gossip(
         world,
         board,
         keeper,
-        on_brakes=lambda brakes: take_brakes(board, world.record, brakes),
+        on_brakes=lambda brakes: take_brakes(braker, brakes),
     )
     metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
     return Node(
@@ -134,9 +131,15 @@
         keeper=keeper,
         gossip=gossip,
         owner=owner,
-        entry=Entry(world, board, owner, ports.session),
+        entry=Entry(
+            world,
+            board,
+            owner,
+            ports.session,
+            on_brakes=lambda brakes: take_brakes(braker, brakes),
+        ),
         mover=mover,
-        operators=Operators(world, board, owner, gossip, committer, metrics),
+        operators=Operators(world, board, owner, gossip, committer, metrics, mover),
     )
 
 
@@ -154,7 +157,7 @@
         notify=take_notify,
         fetch=lambda digests: serve_fetch(node.keeper, digests),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
-        evidence=lambda move: serve_evidence(node.mover, move),
+        evidence=lambda trial: serve_evidence(node.mover, trial),
         events=lambda after, most: own_events(node.world, after, most),
         status=lambda: own_status(node.board),
     )
@@ -238,7 +241,10 @@
         "reader": lambda: run_reader(node.world, node.board, node.keeper),
         "gossip": lambda: run_gossip(node.gossip),
         "upstreams": lambda: watch_upstreams(node),
-        "brakes": lambda: run_brakes(node.mover),
+        "brakes": lambda: run_brakes(node.mover.braker),
+        "spread": lambda: run_spread(
+            node.mover.braker, lambda host: probe_once(node.gossip, host)
+        ),
         "mover": lambda: run_mover(node.mover),
     }
     return [
--- a/agaterelay/ports.py
+++ b/agaterelay/ports.py
@@ -104,8 +104,8 @@
     async def witness(self, host: str, own_host: str, revision: int) -> int:
         """Tell a host which revision this one is about to serve; return the floor."""
 
-    async def evidence(self, host: str, move: str) -> EvidenceReport:
-        """Ask a host what it saw of a move."""
+    async def evidence(self, host: str, trial: str) -> EvidenceReport:
+        """Ask a host what it saw of a trial of a move."""
 
     async def events(self, host: str, after: Stamp, most: int) -> EventsReport:
         """Ask a host for its newest events."""
--- /dev/null
+++ b/agaterelay/tasks/brakes.py
@@ -0,0 +1,104 @@
+"""The brakes of a node: it stops a bad version alone, and tells its peers.
+
+A brake asks nobody and needs no platform. It travels on gossip, on the answers that
+a braking node gives to others, and at once to a few random hosts, which pass it on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+import attrs
+
+from agaterelay.core.brake import add_brakes, find_brake, keep_open, open_moves
+from agaterelay.core.messages import Brake
+from agaterelay.events import EventKind
+from agaterelay.tasks.board import Board, World
+from agaterelay.tasks.tallies import (
+    Tallies,
+    first_failure_ms,
+    follow_moves,
+    freeze_trial,
+    own_windows,
+)
+
+BRAKE_PERIOD_S = 0.1
+SPREAD_HOSTS = 3
+
+
+@attrs.define
+class Braker:
+    """The brake task's state; ``told`` wakes it to pass brakes on."""
+
+    world: World
+    board: Board
+    tallies: Tallies
+    told: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+def take_brakes(braker: Braker, brakes: Iterable[Brake]) -> None:
+    """Take in brakes, this node's own or those of peers; they only lower the share."""
+    board = braker.board
+    merged, added = add_brakes(board.brakes, brakes, board.active)
+    if not added:
+        return
+    board.brakes = dict(merged)
+    now_s = braker.world.clock.monotonic_s()
+    for brake in added:
+        freeze_trial(braker.tallies, brake.trial, now_s)
+        braker.world.record(
+            EventKind.MOVE_BRAKED, trial=brake.trial, reason=brake.reason
+        )
+    braker.told.set()
+
+
+def look(braker: Braker) -> None:
+    """Brake where this node's own evidence calls for it; drop what is closed."""
+    board = braker.board
+    clock = braker.world.clock
+    now_s = clock.monotonic_s()
+    now_ms = int(clock.now().timestamp() * 1000)
+    follow_moves(braker.tallies, board.active, now_s)
+    found = []
+    for progress in open_moves(board.active):
+        trial = progress.trial
+        if trial in board.brakes or not progress.share_permille:
+            continue
+        windows = own_windows(braker.tallies, trial, now_s)
+        first_ms = first_failure_ms(braker.tallies, trial)
+        brake = find_brake(progress, windows, first_ms, now_ms)
+        if brake is not None:
+            found.append(brake)
+    take_brakes(braker, found)
+    kept = keep_open(board.brakes, board.active)
+    if len(kept) != len(board.brakes):
+        board.brakes = dict(kept)
+
+
+async def run_brakes(braker: Braker) -> None:
+    """Watch this node's own evidence until cancelled."""
+    while True:
+        await braker.world.clock.sleep(BRAKE_PERIOD_S)
+        look(braker)
+
+
+async def run_spread(braker: Braker, tell: Callable[[str], Awaitable[object]]) -> None:
+    """Pass new brakes on to a few random hosts until cancelled.
+
+    Args:
+        braker: The brake task's state.
+        tell: Exchanges views with a host, brakes among them.
+    """
+    while True:
+        await braker.told.wait()
+        braker.told.clear()
+        board = braker.board
+        hosts = [
+            member.host
+            for member in board.members.values()
+            if member.usable and member.host != board.own.host
+        ]
+        chosen = random.sample(hosts, min(SPREAD_HOSTS, len(hosts)))
+        await asyncio.gather(*(tell(host) for host in chosen))
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -6,10 +6,12 @@
 
 from aiohttp import web
 
+from agaterelay.core.brake import encode_brakes
 from agaterelay.core.keys import parse_key
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.events import EventKind
 from agaterelay.tasks.entry import (
+    BRAKES_HEADER,
     HOP_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
@@ -92,7 +94,10 @@
     finally:
         entry.owner.in_flight -= 1
     _note(entry, request, outcome)
-    return respond(outcome)
+    response = respond(outcome)
+    if HOP_HEADER in request.headers and entry.board.brakes:
+        response.headers[BRAKES_HEADER] = encode_brakes(entry.board.brakes.values())
+    return response
 
 
 def _note(entry: Entry, request: web.BaseRequest, outcome: Outcome) -> None:
--- a/agaterelay/tasks/committer.py
+++ b/agaterelay/tasks/committer.py
@@ -20,6 +20,7 @@
     empty_snapshot,
     plan_commit,
     plan_move_update,
+    plan_take_back,
 )
 from agaterelay.core.manifest import (
     decode_manifest,
@@ -66,17 +67,34 @@
 
 
 async def commit_move(
-    committer: Committer, progress: MoveProgress, change_id: str, note: str
+    committer: Committer, base: MoveProgress, following: MoveProgress, change_id: str
 ) -> ChangeRecord | None:
-    """Commit a move's new state; None where the move is gone.
+    """Commit a move's new state; None where it is not at its base any more.
+
+    Raises:
+        PlatformError: It is unknown whether it was committed.
+    """
+
+    def plan(snapshot: Snapshot) -> Accepted | AlreadyCommitted | None:
+        now = committer.world.clock.now()
+        return plan_move_update(snapshot, base, following, change_id, now)
+
+    decision = await _commit(committer, plan, {})
+    return decision.record if decision is not None else None
+
+
+async def commit_take_back(
+    committer: Committer, move: str, reason: str, change_id: str
+) -> ChangeRecord | None:
+    """Commit an operator's take-back; None where the move is gone or final.
 
     Raises:
         PlatformError: It is unknown whether it was committed.
     """
-    world = committer.world
 
     def plan(snapshot: Snapshot) -> Accepted | AlreadyCommitted | None:
-        return plan_move_update(snapshot, progress, change_id, note, world.clock.now())
+        now = committer.world.clock.now()
+        return plan_take_back(snapshot, move, reason, change_id, now)
 
     decision = await _commit(committer, plan, {})
     return decision.record if decision is not None else None
--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -8,11 +8,14 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import aiohttp
 import attrs
 
+from agaterelay.core.brake import decode_brakes
 from agaterelay.core.keys import Key, mint_key, parse_key
+from agaterelay.core.messages import Brake
 from agaterelay.core.model import Route, Snapshot
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.routing import (
@@ -25,11 +28,13 @@
 )
 from agaterelay.tasks.board import Board, World
 from agaterelay.tasks.owner import Call, Owner, run_call
+from agaterelay.tasks.tallies import note_forwarded
 
 MAX_TRIES = 3
 OUTCOME_HEADER = "Agaterelay-Outcome"
 REASON_HEADER = "Agaterelay-Reason"
 HOP_HEADER = "Agaterelay-Hop"
+BRAKES_HEADER = "Agaterelay-Brakes"
 
 
 @attrs.frozen
@@ -56,6 +61,7 @@
     session: aiohttp.ClientSession
     draw: random.Random = attrs.field(factory=random.Random)
     in_flight: dict[str, int] = attrs.field(factory=dict)
+    on_brakes: Callable[[tuple[Brake, ...]], None] = lambda brakes: None
 
 
 async def handle_request(entry: Entry, request: Request) -> Outcome:
@@ -135,11 +141,7 @@
 def _choose(
     entry: Entry, snapshot: Snapshot, route: Route, tried: set[str]
 ) -> Target | None:
-    shares = version_shares(snapshot, route.service)
-    for progress in snapshot.progress.values():
-        braked = progress.name in entry.board.brakes
-        if progress.service == route.service and braked:
-            shares = {progress.from_version: 1}
+    shares = version_shares(snapshot, route.service, entry.board.brakes)
     version = choose_version(shares, entry.draw)
     for name in [version, *(item for item in shares if item != version)]:
         targets = [
@@ -222,13 +224,35 @@
                 headers=headers,
                 allow_redirects=False,
             ) as response:
-                return _outcome_of(response, await response.read())
+                outcome = _outcome_of(response, await response.read())
+                _note_told(entry, call, response, outcome)
+                return outcome
     except aiohttp.ClientConnectorError:
         return NotRun("the upstream's node cannot be reached")
     except (aiohttp.ClientError, TimeoutError) as error:
         return Unknown(f"the answer was lost: {type(error).__name__}")
 
 
+def _note_told(
+    entry: Entry, call: Call, response: aiohttp.ClientResponse, outcome: Outcome
+) -> None:
+    """Count what the upstream's node told of a call, and take its brakes."""
+    clock = entry.world.clock
+    if OUTCOME_HEADER in response.headers:
+        note_forwarded(
+            entry.owner.tallies,
+            entry.board.active,
+            call.service,
+            (call.route, call.version),
+            outcome,
+            clock.monotonic_s(),
+            int(clock.now().timestamp() * 1000),
+        )
+    brakes = decode_brakes(response.headers.get(BRAKES_HEADER, ""))
+    if brakes:
+        entry.on_brakes(brakes)
+
+
 def _outcome_of(response: aiohttp.ClientResponse, body: bytes) -> Outcome:
     kind = response.headers.get(OUTCOME_HEADER, "")
     reason = response.headers.get(REASON_HEADER, "")
@@ -236,7 +260,14 @@
         return NotRun(reason, float(response.headers.get("Retry-After", "0")))
     if kind != "answered":
         return Unknown(reason or "the node did not say what became of the call")
-    skip = {OUTCOME_HEADER.lower(), "content-length", "date", "server", "connection"}
+    skip = {
+        OUTCOME_HEADER.lower(),
+        BRAKES_HEADER.lower(),
+        "content-length",
+        "date",
+        "server",
+        "connection",
+    }
     headers = tuple(
         (name, value)
         for name, value in response.headers.items()
--- a/agaterelay/tasks/mover.py
+++ b/agaterelay/tasks/mover.py
@@ -1,28 +1,30 @@
 """The mover takes the moves of this host's turn through their steps.
 
-It gathers what all owners of the service's upstreams saw, decides, and commits. Every
-node also brakes by itself on what it sees, without asking anybody.
+It gathers what all owners of the service's upstreams saw, decides, and commits. Two
+movers at once do no harm: a step has an effect only on the progress it was decided on.
 """
 
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import attrs
 
-from agaterelay.core.evidence import Evidence, add_evidence
+from agaterelay.core.brake import open_moves
+from agaterelay.core.evidence import Report, report_of
 from agaterelay.core.membership import Members
-from agaterelay.core.messages import Brake, EvidenceReport
+from agaterelay.core.messages import EvidenceReport
 from agaterelay.core.model import FINAL_MOVE_STATES, MoveProgress, Snapshot
+from agaterelay.core.move_readback import describe_move
 from agaterelay.core.rendezvous import rank
-from agaterelay.core.steps import find_failure, next_progress
+from agaterelay.core.steps import MoveView, next_progress
 from agaterelay.events import EventKind
 from agaterelay.ports import PlatformError
 from agaterelay.tasks.board import Board, World
+from agaterelay.tasks.brakes import Braker, take_brakes
 from agaterelay.tasks.committer import Committer, commit_move
-from agaterelay.tasks.owner import Owner
-
-BRAKE_PERIOD_S = 0.25
+from agaterelay.tasks.tallies import Tallies
 
 
 @attrs.define
@@ -31,57 +33,18 @@
 
     world: World
     board: Board
-    owner: Owner
+    tallies: Tallies
+    braker: Braker
     committer: Committer
 
 
-def open_moves(snapshot: Snapshot | None) -> list[MoveProgress]:
-    """Return the moves that are not finished."""
-    if snapshot is None:
-        return []
-    return [
-        progress
-        for progress in snapshot.progress.values()
-        if progress.state not in FINAL_MOVE_STATES
-    ]
-
-
-def take_brakes(board: Board, record: object, brakes: tuple[Brake, ...]) -> None:
-    """Take in brakes; a brake is only ever added while its move is open."""
-    running = {progress.name for progress in open_moves(board.active)}
-    for brake in brakes:
-        if brake.move in running and brake.move not in board.brakes:
-            board.brakes = {**board.brakes, brake.move: brake}
-            record(EventKind.MOVE_BRAKED, move=brake.move, reason=brake.reason)
-
-
-async def run_brakes(mover: Mover) -> None:
-    """Watch this host's own evidence and brake on a failure, until cancelled."""
-    while True:
-        await mover.world.clock.sleep(BRAKE_PERIOD_S)
-        for progress in open_moves(mover.board.active):
-            evidence = mover.owner.evidence.get(progress.name, {})
-            reason, _ = find_failure(
-                evidence, progress.from_version, progress.to_version
-            )
-            if reason and progress.name not in mover.board.brakes:
-                now_ms = int(mover.world.clock.now().timestamp() * 1000)
-                brake = Brake(progress.name, reason, now_ms)
-                take_brakes(mover.board, mover.world.record, (brake,))
-        _drop_finished(mover)
-
-
-def _drop_finished(mover: Mover) -> None:
-    running = {progress.name for progress in open_moves(mover.board.active)}
-    kept = {name: item for name, item in mover.board.brakes.items() if name in running}
-    if len(kept) != len(mover.board.brakes):
-        mover.board.brakes = kept
-
-
-def serve_evidence(mover: Mover, move: str) -> EvidenceReport:
-    """Tell a peer what this node saw of a move."""
-    brakes = tuple(item for item in mover.board.brakes.values() if item.move == move)
-    return EvidenceReport(mover.owner.evidence.get(move, {}), brakes)
+def serve_evidence(mover: Mover, trial: str) -> EvidenceReport:
+    """Tell a peer what this node saw of a trial."""
+    now_s = mover.world.clock.monotonic_s()
+    ledger = mover.tallies.ran.get(trial)
+    report = report_of(ledger, now_s) if ledger else Report(trial)
+    brake = mover.board.brakes.get(trial)
+    return EvidenceReport(report, (brake,) if brake else ())
 
 
 async def run_mover(mover: Mover) -> None:
@@ -89,9 +52,12 @@
     while True:
         await mover.world.clock.sleep(mover.world.settings.move_step_s)
         snapshot = mover.board.active
-        for progress in open_moves(snapshot):
-            if is_stepper(mover.board, progress.name):
-                await step(mover, snapshot, progress)
+        turns = [
+            step(mover, snapshot, progress)
+            for progress in open_moves(snapshot)
+            if is_stepper(mover.board, progress.name)
+        ]
+        await asyncio.gather(*turns)
 
 
 def is_stepper(board: Board, move: str) -> bool:
@@ -102,45 +68,55 @@
 
 async def step(mover: Mover, snapshot: Snapshot, progress: MoveProgress) -> None:
     """Gather evidence on a move and commit its next state, where there is one."""
-    evidence, brake = await gather_evidence(mover, progress)
+    view = await gather_view(mover, progress)
+    take_brakes(mover.braker, view.brakes)
     now = mover.world.clock.now()
     move = snapshot.moves[progress.name]
-    following = next_progress(move, progress, evidence, brake, now)
+    following = next_progress(move, progress, view, now)
     if following is None:
         return
-    change_id = f"{progress.name}:{snapshot.revision}:{following.state}"
-    note = f"{progress.name} {following.state} {following.share_permille} permille"
+    own = mover.board.own
+    change_id = f"{progress.trial}:{snapshot.revision}:{own.host}:{own.incarnation}"
     try:
-        await commit_move(mover.committer, following, change_id, note)
+        record = await commit_move(mover.committer, progress, following, change_id)
     except PlatformError as error:
         mover.world.record(EventKind.PLATFORM_LOST, reason=str(error))
         return
+    if record is None:
+        mover.world.record(EventKind.MOVE_SUPERSEDED, move=progress.name)
+        return
     finished = following.state in FINAL_MOVE_STATES
     mover.world.record(
         EventKind.MOVE_FINISHED if finished else EventKind.MOVE_STEPPED,
         move=progress.name,
         state=str(following.state),
         share_permille=following.share_permille,
-        reason=following.reason,
+        late=following.late,
+        reason=following.reason or following.late_reason,
     )
 
 
-async def gather_evidence(mover: Mover, progress: MoveProgress) -> tuple[Evidence, str]:
+async def gather_view(mover: Mover, progress: MoveProgress) -> MoveView:
     """Return what all owners of the service's upstreams saw, and any brake."""
+    own_host = mover.board.own.host
     hosts = owners_of(mover.board.members, progress.service)
-    reports = await asyncio.gather(
-        *(
-            mover.world.peers.evidence(host, progress.name)
-            for host in hosts
-            if host != mover.board.own.host
-        ),
+    others = [host for host in hosts if host != own_host]
+    answers = await asyncio.gather(
+        *(mover.world.peers.evidence(host, progress.trial) for host in others),
         return_exceptions=True,
     )
-    known = [item for item in reports if isinstance(item, EvidenceReport)]
-    known.append(serve_evidence(mover, progress.name))
-    reasons = [brake.reason for report in known for brake in report.brakes]
-    evidence = add_evidence(report.evidence for report in known)
-    return evidence, reasons[0] if reasons else ""
+    known = {
+        host: answer
+        for host, answer in zip(others, answers, strict=True)
+        if isinstance(answer, EvidenceReport)
+    }
+    known[own_host] = serve_evidence(mover, progress.trial)
+    return MoveView(
+        reports={host: answer.report for host, answer in known.items()},
+        complete=len(known) > len(others),
+        brakes=tuple(brake for answer in known.values() for brake in answer.brakes),
+        new_slots=slots_of(mover.board.members, progress.service, progress.to_version),
+    )
 
 
 def owners_of(members: Members, service: str) -> list[str]:
@@ -150,3 +126,26 @@
         for member in members.values()
         if member.usable and any(item.service == service for item in member.upstreams)
     ]
+
+
+def slots_of(members: Members, service: str, version: str) -> int:
+    """Return how many calls a version's upstreams take at once."""
+    return sum(
+        item.slots
+        for member in members.values()
+        if member.usable
+        for item in member.upstreams
+        if (item.service, item.version) == (service, version) and not item.draining
+    )
+
+
+async def describe_moves(mover: Mover) -> list[dict[str, Any]]:
+    """Return every move of the served revision with its evidence, for JSON."""
+    snapshot = mover.board.active
+    described = []
+    for progress in snapshot.manifest.moves if snapshot else ():
+        view = MoveView()
+        if progress.state not in FINAL_MOVE_STATES:
+            view = await gather_view(mover, progress)
+        described.append(describe_move(progress, view.reports.values(), view.brakes))
+    return described
--- a/agaterelay/tasks/operators.py
+++ b/agaterelay/tasks/operators.py
@@ -27,21 +27,16 @@
 from agaterelay.core.manifest import plain
 from agaterelay.core.membership import UpstreamInfo
 from agaterelay.core.messages import EventsReport, NodeStatus
-from agaterelay.core.model import (
-    FINAL_MOVE_STATES,
-    Finding,
-    MoveState,
-    Place,
-    Snapshot,
-)
+from agaterelay.core.model import Finding, Place, Snapshot
 from agaterelay.core.parse import MAX_DOCUMENT_BYTES, parse_document
 from agaterelay.core.snapshot import ADMIN_OWNER
 from agaterelay.core.timeline import Event, Stamp, merge_events
 from agaterelay.events import EventKind
 from agaterelay.ports import PlatformError
 from agaterelay.tasks.board import Board, World
-from agaterelay.tasks.committer import Committer, commit_change, commit_move
+from agaterelay.tasks.committer import Committer, commit_change, commit_take_back
 from agaterelay.tasks.gossip import Gossip, set_upstreams
+from agaterelay.tasks.mover import Mover, describe_moves
 from agaterelay.tasks.owner import Owner, announce, announced, withdraw
 
 MAX_EVENTS = 2000
@@ -59,6 +54,7 @@
     gossip: Gossip
     committer: Committer
     metrics: Metrics
+    mover: Mover
 
 
 class _BadRequestError(Exception):
@@ -241,9 +237,7 @@
 
 
 async def _show_moves(operators: Operators, _: web.Request) -> web.Response:
-    snapshot = operators.board.active
-    moves = [plain(item) for item in snapshot.manifest.moves] if snapshot else []
-    return web.json_response({"moves": moves})
+    return web.json_response({"moves": await describe_moves(operators.mover)})
 
 
 async def _take_back(operators: Operators, request: web.Request) -> web.Response:
@@ -254,26 +248,17 @@
         return web.json_response({"error": "unknown-move"}, status=404)
     if not _owns_move(operators, snapshot, name, _key_of(request)):
         return web.json_response({"error": "forbidden"}, status=403)
-    if progress.state in FINAL_MOVE_STATES:
-        return web.json_response({"error": "finished"}, status=409)
-    now = operators.world.clock.now()
-    taken_back = attrs.evolve(
-        progress,
-        state=MoveState.REVERTED,
-        share_permille=0,
-        reason="taken back by an operator",
-        finished_at=now,
-    )
-    change_id = f"{name}:{snapshot.revision}:take-back"
+    reason = "taken back by an operator"
+    change_id = f"{progress.identity}:take-back"
     try:
-        record = await commit_move(
-            operators.committer, taken_back, change_id, f"{name} taken back"
-        )
+        record = await commit_take_back(operators.committer, name, reason, change_id)
     except PlatformError as error:
         return web.json_response(
             {"error": "platform", "message": str(error)}, status=503
         )
-    return web.json_response(plain(record) if record else {})
+    if record is None:
+        return web.json_response({"error": "finished"}, status=409)
+    return web.json_response(plain(record))
 
 
 def _owns_move(operators: Operators, snapshot: Snapshot, move: str, key: str) -> bool:
--- a/agaterelay/tasks/owner.py
+++ b/agaterelay/tasks/owner.py
@@ -13,16 +13,19 @@
 import attrs
 
 from agaterelay.core.admission import Slots, UpstreamSlots, admit, release
-from agaterelay.core.evidence import Evidence, Tally, count_call
 from agaterelay.core.keys import Key, KeyWindow, claim, settle
 from agaterelay.core.membership import UpstreamInfo
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.events import EventKind
 from agaterelay.tasks.board import Board, World
+from agaterelay.tasks.tallies import Tallies, note_ran
 
 HEARTBEAT_TIMEOUT_S = 4.0
 MAX_ANSWER_BYTES = 4 << 20
 NOT_RUN_HEADER = "Not-Run"
+ABANDONED = "the call was abandoned"
+# The time by which the caller's clock may run out before this node's.
+ABANDON_MARGIN_S = 0.05
 _HOP_BY_HOP = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "date",
      "server", "host", "upgrade", "te", "trailer", "proxy-authorization",
@@ -55,7 +58,7 @@
     window: KeyWindow
     session: aiohttp.ClientSession
     slots: Slots = attrs.field(factory=dict)
-    evidence: dict[str, Evidence] = attrs.field(factory=dict)
+    tallies: Tallies = attrs.field(factory=Tallies)
     in_flight: int = 0
 
 
@@ -118,12 +121,12 @@
     if slot is None:
         return NotRun("no upstream has a free slot", retry_after_s=0.1)
     started_s = owner.world.clock.monotonic_s()
+    outcome: Outcome = Unknown(ABANDONED)
     try:
         outcome = await send(owner, call, slot)
     finally:
         release(slot)
-    elapsed_ms = (owner.world.clock.monotonic_s() - started_s) * 1000
-    note_evidence(owner, call, outcome, elapsed_ms)
+        note_evidence(owner, call, slot.info.address, outcome, started_s)
     return outcome
 
 
@@ -165,19 +168,28 @@
 
 
 def note_evidence(
-    owner: Owner, call: Call, outcome: Outcome, latency_ms: float
+    owner: Owner, call: Call, address: str, outcome: Outcome, started_s: float
 ) -> None:
-    """Count a call for the move that its service is under."""
-    snapshot = owner.board.active
-    if snapshot is None or isinstance(outcome, NotRun):
+    """Count a call for the move that its service is under.
+
+    A call that its caller abandoned before the deadline says nothing.
+    """
+    clock = owner.world.clock
+    now_s = clock.monotonic_s()
+    abandoned = isinstance(outcome, Unknown) and outcome.reason == ABANDONED
+    if abandoned and now_s < call.deadline_s - ABANDON_MARGIN_S:
         return
-    failed = not isinstance(outcome, Answered) or outcome.status >= 500
-    for progress in snapshot.progress.values():
-        if progress.service != call.service:
-            continue
-        evidence = owner.evidence.setdefault(progress.name, {})
-        key = (call.route, call.version)
-        evidence[key] = count_call(evidence.get(key, Tally()), failed, latency_ms)
+    note_ran(
+        owner.tallies,
+        owner.board.active,
+        call.service,
+        (call.route, call.version),
+        address,
+        outcome,
+        (now_s - started_s) * 1000,
+        now_s,
+        int(clock.now().timestamp() * 1000),
+    )
 
 
 def time_left(deadline_s: float, now_s: float) -> timedelta:
