Measure moves beside a fixed schedule and a global threshold; tell one host's trouble apart

Ruled out: a fixed window for the comparison with other hosts; it has either calls from before the failure began or too few. Change: owners report the new version's last slots, so that other hosts are compared from the first failure on; holding asks for a chance of 1 in 1,000. Known loss: a cold start of 30 calls an upstream is taken back.

--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -200,6 +200,15 @@
         step=seen.step,
         first_failure_ms=seen.first_failure_ms,
         age_s=seen.age_s,
+        failing_s=seen.failing_s,
+        recent=[
+            pb.RecentCalls(
+                route=route,
+                calls=[calls for calls, _ in slots],
+                failures=[failures for _, failures in slots],
+            )
+            for route, slots in seen.recent.items()
+        ],
     )
 
 
@@ -218,6 +227,11 @@
         windows=windows,
         first_failure_ms=message.first_failure_ms,
         age_s=message.age_s,
+        failing_s=message.failing_s,
+        recent={
+            item.route: tuple(zip(item.calls, item.failures, strict=False))
+            for item in message.recent
+        },
     )
     return EvidenceReport(report, brakes_from_wire(message.brakes))
 
--- a/agaterelay/core/evidence.py
+++ b/agaterelay/core/evidence.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Iterable
 from enum import StrEnum
+from math import inf
 
 import attrs
 
@@ -18,6 +19,7 @@
 LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 BUCKET_COUNT = len(LATENCY_BOUNDS_MS) + 1
 SLOT_S = 1.0
+# The spans of the windows that end now; the others begin with a step and a trial.
 SHORT_WINDOW_S = 4.0
 MEDIUM_WINDOW_S = 20.0
 
@@ -47,14 +49,18 @@
 # Tallies by (route, version).
 Evidence = dict[tuple[str, str], Tally]
 Windows = dict[Window, Evidence]
+# The new version's (calls, failures) by route, the newest slot first.
+Recent = dict[str, tuple[tuple[int, int], ...]]
 
 
 @attrs.frozen
 class Report:
     """What one node saw of a trial.
 
-    ``step`` is the one that its STEP window covers, and ``age_s`` the time for which
-    the node has counted.
+    ``step`` is the one that its STEP window covers, ``age_s`` the time for which the
+    node has counted, and ``failing_s`` the time since the new version's first failure
+    after a good while, up to the brake where there is one. ``recent`` has the new
+    version's last slots.
     """
 
     trial: str
@@ -62,6 +68,8 @@
     windows: Windows = attrs.field(factory=dict)
     first_failure_ms: int = 0
     age_s: float = 0.0
+    failing_s: float = 0.0
+    recent: Recent = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -83,13 +91,18 @@
     """
 
     trial: str
+    to_version: str
     began_s: float
     step: int = 0
     slots: deque[Slot] = attrs.field(factory=deque)
     step_total: Evidence = attrs.field(factory=dict)
     trial_total: Evidence = attrs.field(factory=dict)
     first_failure_ms: int = 0
+    first_failure_s: float = 0.0
+    last_failure_s: float = -inf
     frozen: Windows | None = None
+    frozen_recent: Recent = attrs.field(factory=dict)
+    frozen_s: float = 0.0
 
 
 def count_call(
@@ -139,7 +152,6 @@
     _fold(ledger, len(ledger.slots))
     ledger.step = step
     ledger.step_total = {}
-    ledger.first_failure_ms = 0
 
 
 def note_calls(
@@ -169,6 +181,20 @@
     evidence[key] = count_call(known, failed, latency_ms, calls)
 
 
+def note_failure(ledger: Ledger, now_s: float, now_ms: int) -> None:
+    """Keep the time of the new version's first failure after a good while.
+
+    Args:
+        ledger: The node's tallies of the trial.
+        now_s: The present time on the steady scale.
+        now_ms: The present time in milliseconds since 1970.
+    """
+    if now_s - ledger.last_failure_s > MEDIUM_WINDOW_S:
+        ledger.first_failure_ms = now_ms
+        ledger.first_failure_s = now_s
+    ledger.last_failure_s = now_s
+
+
 def _expired(ledger: Ledger, number: int) -> int:
     first = number - int(MEDIUM_WINDOW_S / SLOT_S)
     return sum(slot.number < first for slot in ledger.slots)
@@ -201,20 +227,44 @@
     return add_evidence(slot.evidence for slot in ledger.slots if slot.number > number)
 
 
+def recent_of(ledger: Ledger, now_s: float) -> Recent:
+    """Return the new version's calls of the last slots."""
+    if ledger.frozen is not None:
+        return ledger.frozen_recent
+    newest = int(now_s / SLOT_S)
+    size = int(MEDIUM_WINDOW_S / SLOT_S)
+    counts: dict[str, list[tuple[int, int]]] = {}
+    for slot in ledger.slots:
+        age = newest - slot.number
+        for (route, version), tally in slot.evidence.items():
+            if version == ledger.to_version and 0 <= age < size:
+                slots = counts.setdefault(route, [(0, 0)] * size)
+                calls, failures = slots[age]
+                slots[age] = (calls + tally.calls, failures + tally.failures)
+    return {route: tuple(slots) for route, slots in counts.items()}
+
+
 def freeze(ledger: Ledger, now_s: float) -> None:
     """Keep the windows as they are now."""
     if ledger.frozen is None:
+        ledger.frozen_recent = recent_of(ledger, now_s)
         ledger.frozen = windows_of(ledger, now_s)
+        ledger.frozen_s = now_s
 
 
 def report_of(ledger: Ledger, now_s: float) -> Report:
     """Return what a node tells of its tallies."""
+    failing_s = 0.0
+    if ledger.first_failure_ms:
+        failing_s = (ledger.frozen_s or now_s) - ledger.first_failure_s
     return Report(
         trial=ledger.trial,
         step=ledger.step,
         windows=windows_of(ledger, now_s),
         first_failure_ms=ledger.first_failure_ms,
         age_s=now_s - ledger.began_s,
+        failing_s=failing_s,
+        recent=recent_of(ledger, now_s),
     )
 
 
--- a/agaterelay/core/verdict.py
+++ b/agaterelay/core/verdict.py
@@ -16,6 +16,7 @@
 
 from agaterelay.core.evidence import (
     LATENCY_BOUNDS_MS,
+    SLOT_S,
     Evidence,
     Report,
     Tally,
@@ -29,7 +30,9 @@
 LOCAL_ALARM = 1e-7
 # A brake is itself evidence, so that less is asked of what confirms it.
 CONFIRM_ALARM = 1e-4
-SUSPECT_ALARM = 0.01
+SUSPECT_ALARM = 0.001
+# The chance that other hosts look that good where the version fails as on one host.
+HOST_ALARM = 0.02
 # What is believed of an old version of which no call was seen.
 PRIOR_FAILURES = 0.5
 PRIOR_SUCCESSES = 20.0
@@ -40,7 +43,7 @@
 MIN_OLD_LATENCIES = 20
 # Tallies above this are scaled down, which only makes the test more careful.
 MAX_TEST_CALLS = 4000
-# Calls on other hosts that have to be good before a failure is one host's alone.
+# Calls on other hosts that have to be quick before slowness is one host's alone.
 MIN_OTHER_CALLS = 20
 
 
@@ -210,25 +213,53 @@
     A failure that one host alone shows, while enough calls went well on others, is
     that host's trouble and no verdict on the version.
     """
-    parts = {host: report.windows for host, report in reports.items()}
-    whole = find_failure(add_windows(parts.values()), from_version, to_version)
+    whole = find_failure(
+        add_windows(report.windows for report in reports.values()),
+        from_version,
+        to_version,
+    )
     if whole is None:
         return None
     key = (whole.route, to_version)
-    for host in parts:
-        others = [windows for other, windows in parts.items() if other != host]
-        if _is_clean(add_windows(others), key, from_version):
-            return None
+    if any(_is_alone(host, reports, key, from_version) for host in reports):
+        return None
     return whole
 
 
-def _is_clean(windows: Windows, key: tuple[str, str], from_version: str) -> bool:
-    """Return whether enough calls went well and nothing is even suspect."""
-    calls = windows[Window.MEDIUM].get(key, Tally()).calls
-    if calls < MIN_OTHER_CALLS:
+def _is_alone(
+    host: str, reports: dict[str, Report], key: tuple[str, str], from_version: str
+) -> bool:
+    """Return whether a host's failures are not to be seen on the others."""
+    own = reports[host]
+    others = add_windows(
+        report.windows for other, report in reports.items() if other != host
+    )
+    rest = find_failure(others, from_version, key[1])
+    if rest is not None and rest.chance <= SUSPECT_ALARM:
         return False
-    other = find_failure(windows, from_version, key[1])
-    return other is None or other.chance > SUSPECT_ALARM
+    seen = own.windows.get(Window.STEP, {}).get(key, Tally())
+    if not seen.failures:
+        return others[Window.MEDIUM].get(key, Tally()).calls >= MIN_OTHER_CALLS
+    own_failures, own_calls = _since_failure(own, own.failing_s, key[0])
+    failures = calls = 0
+    for other, report in reports.items():
+        if other != host:
+            more_failures, more_calls = _since_failure(report, own.failing_s, key[0])
+            failures += more_failures
+            calls += more_calls
+    successes = own_calls - own_failures
+    chance = tail_chance(calls - failures, calls, successes + 0.5, own_failures + 0.5)
+    return chance < HOST_ALARM
+
+
+def _since_failure(report: Report, failing_s: float, route: str) -> tuple[int, int]:
+    """Return the new version's failures and calls in the last seconds.
+
+    What others saw before a host's first failure says nothing: the version may have
+    begun to fail everywhere at that moment.
+    """
+    slots = report.recent.get(route, ())[: int(failing_s / SLOT_S) + 1]
+    return sum(slot[1] for slot in slots), sum(slot[0] for slot in slots)
 
 
 def harmed_calls(reports: Iterable[Report], to_version: str) -> int:
--- a/agaterelay/tasks/brakes.py
+++ b/agaterelay/tasks/brakes.py
@@ -25,6 +25,8 @@
 )
 
 BRAKE_PERIOD_S = 0.1
+# How often the latencies are looked at; failures are looked at as they come.
+FULL_LOOK_S = 1.0
 SPREAD_HOSTS = 3
 
 
@@ -36,6 +38,7 @@
     board: Board
     tallies: Tallies
     told: asyncio.Event = attrs.field(factory=asyncio.Event)
+    full_look_s: float = 0.0
 
 
 def take_brakes(braker: Braker, brakes: Iterable[Brake]) -> None:
@@ -61,10 +64,15 @@
     now_s = clock.monotonic_s()
     now_ms = int(clock.now().timestamp() * 1000)
     follow_moves(braker.tallies, board.active, now_s)
+    due = now_s - braker.full_look_s >= FULL_LOOK_S
+    if due:
+        braker.full_look_s = now_s
+    failing = set(braker.tallies.failing)
+    braker.tallies.failing.clear()
     found = []
     for progress in open_moves(board.active):
         trial = progress.trial
-        if trial in board.brakes or not progress.share_permille:
+        if trial in board.brakes or not (due or trial in failing):
             continue
         windows = own_windows(braker.tallies, trial, now_s)
         first_ms = first_failure_ms(braker.tallies, trial)
--- a/agaterelay/tasks/tallies.py
+++ b/agaterelay/tasks/tallies.py
@@ -17,6 +17,7 @@
     begin_step,
     freeze,
     note_calls,
+    note_failure,
     windows_of,
 )
 from agaterelay.core.model import MoveProgress, Snapshot
@@ -24,8 +25,8 @@
 
 # Calls and seconds for which the latency of an upstream that has just started is left
 # out: a cold start is slow and says nothing about the version.
-WARM_UP_CALLS = 5
-WARM_UP_S = 5.0
+WARM_UP_CALLS = 10
+WARM_UP_S = 10.0
 FIRST_ERROR_STATUS = 500
 
 # Ledgers by trial.
@@ -42,11 +43,15 @@
 
 @attrs.define
 class Tallies:
-    """The ledgers of a node, and which of its upstreams are warm."""
+    """The ledgers of a node, and which of its upstreams are warm.
+
+    ``failing`` has the trials whose new version failed since the last look.
+    """
 
     ran: Ledgers = attrs.field(factory=dict)
     forwarded: Ledgers = attrs.field(factory=dict)
     warm_ups: dict[str, WarmUp] = attrs.field(factory=dict)
+    failing: set[str] = attrs.field(factory=set)
 
 
 def follow_moves(tallies: Tallies, snapshot: Snapshot | None, now_s: float) -> None:
@@ -57,7 +62,7 @@
         for progress in moves:
             ledger = ledgers.get(progress.trial)
             if ledger is None:
-                ledger = ledgers[progress.trial] = Ledger(progress.trial, now_s)
+                ledger = ledgers[progress.trial] = _new_ledger(progress, now_s)
             begin_step(ledger, progress.step)
         for trial in ledgers.keys() - trials:
             del ledgers[trial]
@@ -65,6 +70,10 @@
         tallies.warm_ups.clear()
 
 
+def _new_ledger(progress: MoveProgress, now_s: float) -> Ledger:
+    return Ledger(progress.trial, progress.to_version, now_s)
+
+
 def is_failure(outcome: Outcome) -> bool:
     """Return whether a call that ran failed: an error, or a cut or lost answer."""
     return not isinstance(outcome, Answered) or outcome.status >= FIRST_ERROR_STATUS
@@ -97,9 +106,19 @@
     progress = _move_of(snapshot, service)
     if progress is None or isinstance(outcome, NotRun):
         return
-    warm = _is_warm(tallies, address, now_s)
-    measured_ms = latency_ms if warm else None
-    _note(tallies.ran, progress, key, is_failure(outcome), measured_ms, now_s, now_ms)
+    warm_up = tallies.warm_ups.setdefault(address, WarmUp(now_s))
+    warm_up.calls += 1
+    measured_ms = latency_ms if is_warm(warm_up, now_s) else None
+    _note(
+        tallies.ran,
+        tallies.failing,
+        progress,
+        key,
+        is_failure(outcome),
+        measured_ms,
+        now_s,
+        now_ms,
+    )
 
 
 def note_forwarded(
@@ -120,7 +139,9 @@
     if progress is None or isinstance(outcome, NotRun):
         return
     failed = is_failure(outcome)
-    _note(tallies.forwarded, progress, key, failed, None, now_s, now_ms)
+    _note(
+        tallies.forwarded, tallies.failing, progress, key, failed, None, now_s, now_ms
+    )
 
 
 def _move_of(snapshot: Snapshot | None, service: str) -> MoveProgress | None:
@@ -128,15 +149,14 @@
     return next((item for item in moves if item.service == service), None)
 
 
-def _is_warm(tallies: Tallies, address: str, now_s: float) -> bool:
-    warm_up = tallies.warm_ups.setdefault(address, WarmUp(now_s))
-    warm_up.calls += 1
-    age_s = now_s - warm_up.first_s
-    return warm_up.calls > WARM_UP_CALLS and age_s > WARM_UP_S
+def is_warm(warm_up: WarmUp, now_s: float) -> bool:
+    """Return whether an upstream's latency says something of its version."""
+    return warm_up.calls > WARM_UP_CALLS and now_s - warm_up.first_s > WARM_UP_S
 
 
 def _note(
     ledgers: Ledgers,
+    failing: set[str],
     progress: MoveProgress,
     key: tuple[str, str],
     failed: bool,
@@ -146,11 +166,12 @@
 ) -> None:
     ledger = ledgers.get(progress.trial)
     if ledger is None:
-        ledger = ledgers[progress.trial] = Ledger(progress.trial, now_s)
+        ledger = ledgers[progress.trial] = _new_ledger(progress, now_s)
     begin_step(ledger, progress.step)
     note_calls(ledger, key, failed, latency_ms, now_s)
-    if failed and key[1] == progress.to_version and not ledger.first_failure_ms:
-        ledger.first_failure_ms = now_ms
+    if failed and key[1] == progress.to_version:
+        note_failure(ledger, now_s, now_ms)
+        failing.add(progress.trial)
 
 
 def own_windows(tallies: Tallies, trial: str, now_s: float) -> Windows:
--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,479 @@
+"""Measure the policy of moves on a small synthetic generator of calls, with fixed seeds.
+
+The product's decisions run as they are, on counts of calls drawn by chance; no
+process, network or store is modelled. Beside the policy run two baselines: a fixed
+schedule that looks at nothing, and one global error threshold over all calls of the
+service. What is harmed is counted by the generator, not by the policy.
+
+``python -m bench.moves`` writes JSON; ``--table`` writes the tables of the docs.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import math
+import random
+import statistics
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+import attrs
+
+from agaterelay.core.brake import find_brake
+from agaterelay.core.demand import BAKE_SHARE_PERMILLE, RAISE_FACTOR
+from agaterelay.core.evidence import (
+    Ledger,
+    add_windows,
+    begin_step,
+    freeze,
+    note_calls,
+    note_failure,
+    report_of,
+    windows_of,
+)
+from agaterelay.core.model import (
+    FINAL_MOVE_STATES,
+    Move,
+    MoveProgress,
+    MoveState,
+    Place,
+)
+from agaterelay.core.steps import MoveView, next_progress
+from agaterelay.tasks.tallies import WarmUp, is_warm
+
+OLD, NEW = "v1", "v2"
+TICK_S = 0.25
+STEP_PERIOD_S = 3.0
+COMMIT_DELAY_S = 1.0
+BRAKE_SPREAD_S = 1.0
+FINISH_WITHIN_S = 300
+BAKE_S = 30
+RUN_S = FINISH_WITHIN_S + 60
+ROUTE_PARTS = {"main": 0.9, "side": 0.1}
+NORMAL_MS, TAIL_MS, SLOW_MS = 7.0, 12.0, 60.0
+TAIL_PART = 0.1
+SLOTS = 12
+# The old version's own error rate; what fails at it harms nobody anew.
+BASE_RATE = 0.001
+START = datetime(2026, 1, 1, tzinfo=UTC)
+GLOBAL_THRESHOLD = 0.05
+GLOBAL_WINDOW_S = 20.0
+GLOBAL_MIN_CALLS = 20
+COLD_START_S = 8.0
+COLD_START_CALLS = 30
+LOOK_S = 1.0
+SEEDS = 5
+
+
+@attrs.frozen
+class Moment:
+    """What a fault depends on."""
+
+    version: str
+    route: str
+    host: int
+    at_s: float
+    share: float
+    seen: int
+    age_s: float
+    hosts: int
+
+
+# The chances that a call fails and that it is slow.
+Fault = Callable[[Moment], tuple[float, float]]
+
+
+def bad(chance: Callable[[Moment], float], slow: bool = False) -> Fault:
+    """Return the fault of a version that is bad with a chance, else as good as old."""
+
+    def fault(moment: Moment) -> tuple[float, float]:
+        if moment.version == OLD:
+            return BASE_RATE, 0.0
+        part = chance(moment)
+        return (BASE_RATE, part) if slow else (max(part, BASE_RATE), 0.0)
+
+    return fault
+
+
+def common(chance: Callable[[Moment], float]) -> Fault:
+    """Return a fault that strikes both versions alike."""
+    return lambda moment: (max(chance(moment), BASE_RATE), 0.0)
+
+
+def _cold(moment: Moment) -> tuple[float, float]:
+    cold = moment.version == NEW and moment.age_s < COLD_START_S
+    return BASE_RATE, 1.0 if cold else 0.0
+
+
+def _cold_calls(moment: Moment) -> tuple[float, float]:
+    cold = moment.version == NEW and moment.seen < COLD_START_CALLS
+    return BASE_RATE, 1.0 if cold else 0.0
+
+
+BAD: dict[str, Fault] = {
+    "fails at once": bad(lambda m: 1.0),
+    "half of the calls fail": bad(lambda m: 0.5),
+    "1 in 20 calls fails": bad(lambda m: 0.05),
+    "1 in 100 calls fails": bad(lambda m: 0.01),
+    "fails after 60 s": bad(lambda m: 1.0 if m.at_s > 60 else 0.0),
+    "fails at full share": bad(lambda m: 1.0 if m.share > 0.9 else 0.0),
+    "fails under load": bad(lambda m: 0.3 if m.share > 0.3 else 0.0),
+    "fails on one route": bad(lambda m: 1.0 if m.route == "side" else 0.0),
+    "flaps": bad(lambda m: 0.8 if m.at_s % 30 < 6 else 0.0),
+    "slow at once": bad(lambda m: 1.0, slow=True),
+    "slow after 60 s": bad(lambda m: 1.0 if m.at_s > 60 else 0.0, slow=True),
+}
+GOOD: dict[str, Fault] = {
+    "clean": common(lambda m: 0.0),
+    "1 in 50 fails on both": common(lambda m: 0.02),
+    "bursts of errors on both": common(lambda m: 0.4 if m.at_s % 40 < 8 else 0.0),
+    "a zone's upstreams fail for 20 s": common(
+        lambda m: 1.0 if m.host % 3 == 0 and 40 < m.at_s < 60 else 0.0
+    ),
+    "cold start of 8 s": _cold,
+    "cold start of 30 calls": _cold_calls,
+    "owners restart": common(lambda m: 0.005),
+    "one host fails for 20 s": bad(
+        lambda m: 1.0 if m.host == 0 and 40 < m.at_s < 60 else 0.0
+    ),
+    "one host fails for good": bad(lambda m: 1.0 if m.host == 0 else 0.0),
+}
+SIZES = {"siamsong": 5, "guild": 7, "target": 27}
+RATES = {"little": 0.4, "usual": 10.0}
+
+
+@attrs.define
+class Run:
+    """One move under one policy."""
+
+    fault: Fault
+    hosts: int
+    rate: float
+    draw: random.Random
+    restarts: bool
+    move: Move
+    progress: MoveProgress
+    active: MoveProgress
+    active_at_s: float = 0.0
+    warm_ups: dict[int, WarmUp] = attrs.field(factory=dict)
+    failing: set[int] = attrs.field(factory=set)
+    ran: list[Ledger] = attrs.field(factory=list)
+    forwarded: list[Ledger] = attrs.field(factory=list)
+    braked_s: float = math.inf
+    brakes: tuple = ()
+    recent: list[tuple[float, int, int]] = attrs.field(factory=list)
+    harmed: int = 0
+    new_calls: int = 0
+    first_s: float | None = None
+    last_s: float | None = None
+
+
+def poisson(draw: random.Random, mean: float) -> int:
+    if mean > 40:
+        return max(round(draw.gauss(mean, math.sqrt(mean))), 0)
+    limit, product, count = math.exp(-mean), draw.random(), 0
+    while product > limit:
+        product *= draw.random()
+        count += 1
+    return count
+
+
+def binomial(draw: random.Random, count: int, chance: float) -> int:
+    if chance <= 0 or not count:
+        return 0
+    if chance >= 1:
+        return count
+    return sum(draw.random() < chance for _ in range(count))
+
+
+def start_run(kind: str, fault: Fault, hosts: int, rate: float, seed: int) -> Run:
+    move = Move("move", "service", OLD, NEW, Place("bench"), None, FINISH_WITHIN_S)
+    finish_by = START + timedelta(seconds=FINISH_WITHIN_S)
+    progress = MoveProgress("move", "service", OLD, NEW, finish_by, START)
+    run = Run(
+        fault=fault,
+        hosts=hosts,
+        rate=rate * hosts,
+        draw=random.Random(f"{kind} {hosts} {rate} {seed}"),
+        restarts=kind == "owners restart",
+        move=attrs.evolve(move, bake_s=BAKE_S),
+        progress=progress,
+        active=progress,
+    )
+    renew_ledgers(run, 0.0)
+    return run
+
+
+def renew_ledgers(run: Run, at_s: float) -> None:
+    run.ran = [Ledger(run.active.trial, NEW, at_s) for _ in range(run.hosts)]
+    run.forwarded = [Ledger(run.active.trial, NEW, at_s) for _ in range(run.hosts)]
+
+
+def generate(run: Run, at_s: float, evidence: bool) -> None:
+    """Draw the calls of one tick and count them."""
+    if run.active.state is MoveState.DONE:
+        share = 1.0
+    else:
+        braked = at_s >= run.braked_s + BRAKE_SPREAD_S
+        share = 0.0 if braked else run.active.share_permille / 1000
+    failed_calls = all_calls = 0
+    for host in range(run.hosts):
+        for version, part in ((OLD, 1 - share), (NEW, share)):
+            for route, route_part in ROUTE_PARTS.items():
+                mean = run.rate / run.hosts * TICK_S * part * route_part
+                calls = poisson(run.draw, mean) if mean else 0
+                if not calls:
+                    continue
+                failed = _count(run, host, version, route, calls, at_s, share, evidence)
+                failed_calls += failed
+                all_calls += calls
+    run.recent.append((at_s, all_calls, failed_calls))
+
+
+def _count(
+    run: Run,
+    host: int,
+    version: str,
+    route: str,
+    calls: int,
+    at_s: float,
+    share: float,
+    evidence: bool,
+) -> int:
+    warm_up = WarmUp(at_s)
+    if version == NEW:
+        warm_up = run.warm_ups.setdefault(host, warm_up)
+    age_s = at_s - warm_up.first_s
+    fail, slow = run.fault(
+        Moment(version, route, host, at_s, share, warm_up.calls, age_s, run.hosts)
+    )
+    failed = binomial(run.draw, calls, fail)
+    slowed = binomial(run.draw, calls - failed, slow)
+    tail = binomial(run.draw, calls - failed - slowed, TAIL_PART)
+    if version == NEW:
+        warm_up.calls += calls
+        run.new_calls += calls
+        if failed + slowed and max(fail, slow) > BASE_RATE:
+            run.harmed += failed + slowed
+            run.first_s = at_s if run.first_s is None else run.first_s
+            run.last_s = at_s
+    if evidence:
+        normal = calls - failed - slowed - tail
+        groups = (
+            (failed, True, NORMAL_MS),
+            (slowed, False, SLOW_MS),
+            (tail, False, TAIL_MS),
+            (normal, False, NORMAL_MS),
+        )
+        entry = run.draw.randrange(run.hosts)
+        for count, is_failed, latency_ms in groups:
+            if count:
+                key = (route, version)
+                measured = version == OLD or is_warm(warm_up, at_s)
+                warm_ms = latency_ms if measured else None
+                note_calls(run.ran[host], key, is_failed, warm_ms, at_s, count)
+                if is_failed and version == NEW:
+                    now_ms = int((START.timestamp() + at_s) * 1000)
+                    run.failing.update((host, entry))
+                    note_failure(run.ran[host], at_s, now_ms)
+                if entry != host:
+                    note_calls(run.forwarded[entry], key, is_failed, None, at_s, count)
+    return failed
+
+
+def look(run: Run, at_s: float) -> None:
+    """Let every node look at its own evidence, as the brake task does."""
+    if run.brakes or not run.active.share_permille:
+        return
+    now_ms = int((START.timestamp() + at_s) * 1000)
+    full = at_s % LOOK_S < TICK_S
+    hosts = range(run.hosts) if full else sorted(run.failing)
+    run.failing = set()
+    for host in hosts:
+        ran, forwarded = run.ran[host], run.forwarded[host]
+        windows = add_windows((windows_of(ran, at_s), windows_of(forwarded, at_s)))
+        brake = find_brake(run.active, windows, now_ms, now_ms)
+        if brake is not None:
+            run.brakes = (brake,)
+            run.braked_s = at_s
+            for ledger in (*run.ran, *run.forwarded):
+                freeze(ledger, at_s)
+            return
+
+
+def activate(run: Run, at_s: float) -> None:
+    """Put a committed progress in force after the time that takes."""
+    if run.progress == run.active or at_s < run.active_at_s:
+        return
+    renewed = run.progress.trial != run.active.trial
+    run.active = run.progress
+    if renewed:
+        run.brakes = ()
+        run.braked_s = math.inf
+        renew_ledgers(run, at_s)
+    for ledger in (*run.ran, *run.forwarded):
+        begin_step(ledger, run.active.step)
+
+
+def step_policy(run: Run, at_s: float) -> None:
+    """Take the product's next step."""
+    reports = {
+        str(host): report_of(ledger, at_s) for host, ledger in enumerate(run.ran)
+    }
+    view = MoveView(reports, True, run.brakes, run.hosts * SLOTS)
+    following = next_progress(
+        run.move, run.active, view, START + timedelta(seconds=at_s)
+    )
+    if following is not None:
+        run.progress = following
+        run.active_at_s = at_s + COMMIT_DELAY_S
+
+
+def step_schedule(run: Run, at_s: float, threshold: float | None) -> None:
+    """Take a step of the fixed schedule, or back where the threshold is passed."""
+    since_s = at_s - GLOBAL_WINDOW_S
+    run.recent = [item for item in run.recent if item[0] > since_s]
+    calls = sum(item[1] for item in run.recent)
+    failed = sum(item[2] for item in run.recent)
+    if threshold is not None and calls >= GLOBAL_MIN_CALLS:
+        if failed > threshold * calls:
+            _set(run, MoveState.REVERTED, 0, at_s)
+            return
+    steps = math.ceil(math.log(BAKE_SHARE_PERMILLE / 10, RAISE_FACTOR)) + 1
+    step_s = (FINISH_WITHIN_S - BAKE_S) / 2 / steps
+    share = min(10 * RAISE_FACTOR ** int(at_s / step_s), 1000)
+    if at_s >= steps * step_s + BAKE_S:
+        _set(run, MoveState.DONE, 1000, at_s)
+    elif share > run.active.share_permille:
+        _set(run, MoveState.STEPPING, share, at_s)
+
+
+def _set(run: Run, state: MoveState, share: int, at_s: float) -> None:
+    now = START + timedelta(seconds=at_s)
+    run.progress = attrs.evolve(
+        run.active, state=state, share_permille=share, finished_at=now
+    )
+    run.active_at_s = at_s + COMMIT_DELAY_S
+
+
+POLICIES: dict[str, Callable[[Run, float], None]] = {
+    "agaterelay": step_policy,
+    "fixed schedule": lambda run, at_s: step_schedule(run, at_s, None),
+    "global threshold": lambda run, at_s: step_schedule(run, at_s, GLOBAL_THRESHOLD),
+}
+
+
+def simulate(run: Run, policy: str) -> dict[str, Any]:
+    """Run a move to its end and return what became of it."""
+    evidence = policy == "agaterelay"
+    at_s = 0.0
+    while at_s < RUN_S:
+        at_s += TICK_S
+        activate(run, at_s)
+        if run.active.state is MoveState.REVERTED:
+            break
+        # A done version goes on for a while, so that a missed fault does its harm.
+        if run.active.state is MoveState.DONE and at_s > FINISH_WITHIN_S:
+            break
+        generate(run, at_s, evidence)
+        if evidence:
+            if run.restarts and run.draw.random() < TICK_S / 10:
+                host = run.draw.randrange(run.hosts)
+                run.ran[host] = Ledger(run.active.trial, NEW, at_s, run.active.step)
+                run.forwarded[host] = Ledger(
+                    run.active.trial, NEW, at_s, run.active.step
+                )
+            look(run, at_s)
+        due = at_s % STEP_PERIOD_S < TICK_S and run.progress == run.active
+        if due and run.active.state not in FINAL_MOVE_STATES:
+            POLICIES[policy](run, at_s)
+    done = run.active.state is MoveState.DONE
+    stop_s = run.last_s - run.first_s if run.first_s is not None else 0.0
+    return {
+        "state": str(run.active.state),
+        "in_time": done and run.active.finished_at <= run.active.finish_by,
+        "finished_s": (run.active.finished_at - START).total_seconds()
+        if run.active.finished_at
+        else RUN_S,
+        "harmed": run.harmed,
+        "stop_s": stop_s,
+        "reason": run.active.reason,
+    }
+
+
+def measure(seeds: int, sizes: list[str], rates: list[str]) -> list[dict[str, Any]]:
+    """Run every kind at every size and rate under every policy."""
+    rows = []
+    for size in sizes:
+        for level in rates:
+            for kind, fault in {**BAD, **GOOD}.items():
+                for policy in POLICIES:
+                    results = [
+                        simulate(
+                            start_run(kind, fault, SIZES[size], RATES[level], seed),
+                            policy,
+                        )
+                        for seed in range(seeds)
+                    ]
+                    rows.append(summarize(size, level, kind, policy, results))
+    return rows
+
+
+def summarize(
+    size: str, level: str, kind: str, policy: str, results: list[dict[str, Any]]
+) -> dict[str, Any]:
+    harmed = sorted(item["harmed"] for item in results)
+    return {
+        "size": size,
+        "traffic": level,
+        "kind": kind,
+        "good": kind in GOOD,
+        "policy": policy,
+        "runs": len(results),
+        "taken_back": sum(item["state"] == "reverted" for item in results),
+        "in_time": sum(item["in_time"] for item in results),
+        "harmed_median": statistics.median(harmed),
+        "harmed_most": harmed[-1],
+        "stop_s_median": statistics.median(item["stop_s"] for item in results),
+        "finished_s_median": statistics.median(item["finished_s"] for item in results),
+        "reasons": sorted({item["reason"] for item in results if item["reason"]})[:2],
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--sizes", nargs="+", default=list(SIZES))
+    parser.add_argument("--rates", nargs="+", default=list(RATES))
+    parser.add_argument("--table", action="store_true")
+    arguments = parser.parse_args()
+    rows = measure(arguments.seeds, arguments.sizes, arguments.rates)
+    print(table(rows) if arguments.table else json.dumps(rows, indent=1))
+
+
+def table(rows: list[dict[str, Any]]) -> str:
+    """Return the rows as one Markdown table, the policies side by side."""
+    names = list(POLICIES)
+    lines = [
+        "| size | traffic | kind | " + " | ".join(names) + " |",
+        "| --- | --- | --- |" + " --- |" * len(names),
+    ]
+    cells: dict[tuple[str, str, str], list[str]] = {}
+    for row in rows:
+        if row["good"]:
+            text = f"{row['in_time']}/{row['runs']} in time, "
+            text += f"{row['taken_back']} taken back"
+        else:
+            text = f"{row['taken_back']}/{row['runs']} taken back, "
+            text += f"{row['harmed_median']:g} ({row['harmed_most']}) harmed, "
+            text += f"{row['stop_s_median']:.1f} s"
+        cells.setdefault((row["size"], row["traffic"], row["kind"]), []).append(text)
+    lines += [f"| {' | '.join(key)} | {' | '.join(texts)} |"
+              for key, texts in cells.items()]  # fmt: skip
+    return "\n".join(lines)
+
+
+if __name__ == "__main__":
+    main()
