--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -13,11 +13,16 @@
 import attrs
 
 from agaterelay.adapters.clock import SystemClock
-from agaterelay.adapters.log import configure_log, make_recorder
+from agaterelay.adapters.log import (
+    configure_log,
+    make_recorder,
+    record_library_warnings,
+)
 from agaterelay.adapters.metrics import Metrics
 from agaterelay.adapters.peers import PeerClient, PeerHandlers, start_peer_server
 from agaterelay.adapters.platform import PlatformClient
 from agaterelay.adapters.settings import Settings, load_settings
+from agaterelay.adapters.tls import load_credentials
 from agaterelay.core.keys import KeyWindow
 from agaterelay.core.membership import Member
 from agaterelay.core.messages import Notify
@@ -53,12 +58,13 @@
     own_status,
     start_operators_server,
 )
-from agaterelay.tasks.owner import Owner, announced, expire_upstreams
+from agaterelay.tasks.owner import Owner
 from agaterelay.tasks.reader import run_reader
+from agaterelay.tasks.tallies import Tallies
+from agaterelay.tasks.upstreams import Upstreams, run_upstreams
 
 PEER_TIMEOUT_S = 1.0
 RESTART_DELAY_S = 0.5
-UPSTREAM_CHECK_S = 0.5
 UPSTREAM_CONNECTIONS = 130
 IN_FLIGHT_POLL_S = 0.02
 EXIT_SETTINGS_INVALID = 2
@@ -82,6 +88,7 @@
     board: Board
     keeper: Keeper
     gossip: Gossip
+    upstreams: Upstreams
     owner: Owner
     entry: Entry
     mover: Mover
@@ -115,21 +122,31 @@
     )
     keeper = Keeper(world, board)
     committer = Committer(world, board, keeper)
-    owner = Owner(world, board, KeyWindow(incarnation), ports.session)
-    braker = Braker(world, board, owner.tallies)
-    mover = Mover(world, board, owner.tallies, braker, committer)
+    tallies = Tallies()
+    braker = Braker(world, board, tallies)
     gossip = Gossip(
         world,
         board,
         keeper,
         on_brakes=lambda brakes: take_brakes(braker, brakes),
     )
+    upstreams = Upstreams(world, lambda infos: set_upstreams(gossip, infos))
+    owner = Owner(
+        world,
+        board,
+        KeyWindow(incarnation),
+        ports.session,
+        upstreams.slots,
+        tallies=tallies,
+    )
+    mover = Mover(world, board, tallies, braker, committer)
     metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
     return Node(
         world=world,
         board=board,
         keeper=keeper,
         gossip=gossip,
+        upstreams=upstreams,
         owner=owner,
         entry=Entry(
             world,
@@ -139,7 +156,7 @@
             on_brakes=lambda brakes: take_brakes(braker, brakes),
         ),
         mover=mover,
-        operators=Operators(world, board, owner, gossip, committer, metrics, mover),
+        operators=Operators(world, board, upstreams, committer, metrics, mover),
     )
 
 
@@ -158,19 +175,11 @@
         fetch=lambda digests: serve_fetch(node.keeper, digests),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
         evidence=lambda trial: serve_evidence(node.mover, trial),
-        events=lambda after, most: own_events(node.world, after, most),
+        events=lambda query: own_events(node.world, query),
         status=lambda: own_status(node.board),
     )
 
 
-async def watch_upstreams(node: Node) -> None:
-    """Forget upstreams whose heartbeat lapsed, until cancelled."""
-    while True:
-        await node.world.clock.sleep(UPSTREAM_CHECK_S)
-        expire_upstreams(node.owner)
-        set_upstreams(node.gossip, announced(node.owner))
-
-
 async def supervise(node: Node, name: str, start: Any) -> None:
     """Run a task; where it fails, record that and start it again."""
     while True:
@@ -204,11 +213,15 @@
     await platform.open()
     connector = aiohttp.TCPConnector(limit=0, limit_per_host=UPSTREAM_CONNECTIONS)
     session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-    peers = PeerClient(PEER_TIMEOUT_S)
+    tls = load_credentials(settings.tls) if settings.tls else None
+    peers = PeerClient(PEER_TIMEOUT_S, tls.channel if tls else None)
     node = build_node(settings, wrap(Ports(platform, platform, peers, session)))
     set_own(node.gossip, node.board.own)
     stopping = _stop_signal()
-    peer_server = await start_peer_server(settings.peers_address, peer_handlers(node))
+    record_library_warnings(node.world.record)
+    peer_server = await start_peer_server(
+        settings.peers_address, peer_handlers(node), tls.server if tls else None
+    )
     operators = await start_operators_server(node.operators, settings.operators_address)
     calls = await start_calls_server(node.entry, settings.calls_address)
     node.world.record(EventKind.NODE_STARTED, zone=settings.zone)
@@ -240,7 +253,7 @@
         "keeper": lambda: run_keeper(node.keeper),
         "reader": lambda: run_reader(node.world, node.board, node.keeper),
         "gossip": lambda: run_gossip(node.gossip),
-        "upstreams": lambda: watch_upstreams(node),
+        "upstreams": lambda: run_upstreams(node.upstreams),
         "brakes": lambda: run_brakes(node.mover.braker),
         "spread": lambda: run_spread(
             node.mover.braker, lambda host: probe_once(node.gossip, host)
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -13,6 +13,7 @@
 from agaterelay.tasks.entry import (
     BRAKES_HEADER,
     HOP_HEADER,
+    LOAD_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     Entry,
@@ -95,11 +96,25 @@
         entry.owner.in_flight -= 1
     _note(entry, request, outcome)
     response = respond(outcome)
-    if HOP_HEADER in request.headers and entry.board.brakes:
-        response.headers[BRAKES_HEADER] = encode_brakes(entry.board.brakes.values())
+    if HOP_HEADER in request.headers:
+        response.headers[LOAD_HEADER] = str(_in_flight(entry, request))
+        if entry.board.brakes:
+            brakes = entry.board.brakes.values()
+            response.headers[BRAKES_HEADER] = encode_brakes(brakes)
     return response
 
 
+def _in_flight(entry: Entry, request: web.BaseRequest) -> int:
+    """Return the calls in flight on the upstreams that a hop was for."""
+    service = request.headers.get("Agaterelay-Service", "")
+    version = request.headers.get("Agaterelay-Version", "")
+    return sum(
+        item.in_flight
+        for item in entry.owner.slots.values()
+        if item.info.service == service and item.info.version == version
+    )
+
+
 def _note(entry: Entry, request: web.BaseRequest, outcome: Outcome) -> None:
     if isinstance(outcome, Answered):
         return
--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -14,6 +14,13 @@
 import attrs
 
 from agaterelay.core.brake import decode_brakes
+from agaterelay.core.health import (
+    Health,
+    load_of,
+    note_load,
+    observe,
+    usable_targets,
+)
 from agaterelay.core.keys import Key, mint_key, parse_key
 from agaterelay.core.messages import Brake
 from agaterelay.core.model import Route, Snapshot
@@ -35,6 +42,7 @@
 REASON_HEADER = "Agaterelay-Reason"
 HOP_HEADER = "Agaterelay-Hop"
 BRAKES_HEADER = "Agaterelay-Brakes"
+LOAD_HEADER = "Agaterelay-Load"
 
 
 @attrs.frozen
@@ -61,6 +69,7 @@
     session: aiohttp.ClientSession
     draw: random.Random = attrs.field(factory=random.Random)
     in_flight: dict[str, int] = attrs.field(factory=dict)
+    health: Health = attrs.field(factory=Health)
     on_brakes: Callable[[tuple[Brake, ...]], None] = lambda brakes: None
 
 
@@ -149,12 +158,12 @@
             for target in targets_of(entry.board.members, route.service, name)
             if target.upstream.address not in tried
         ]
+        now_s = entry.world.clock.monotonic_s()
+        usable = usable_targets(
+            entry.health, targets, now_s, route.idempotent, entry.draw
+        )
         chosen = choose_target(
-            targets,
-            entry.board.own.host,
-            entry.world.settings.zone,
-            lambda target: _load(entry, target),
-            entry.draw,
+            usable, entry.board.own, lambda target: _load(entry, target), entry.draw
         )
         if chosen is not None:
             return chosen
@@ -163,7 +172,8 @@
 
 def _load(entry: Entry, target: Target) -> float:
     in_flight = entry.in_flight.get(target.upstream.address, 0)
-    return in_flight / max(target.upstream.slots, 1)
+    now_s = entry.world.clock.monotonic_s()
+    return load_of(entry.health, target, in_flight, now_s)
 
 
 async def _dispatch(
@@ -190,10 +200,16 @@
     )
     address = target.upstream.address
     entry.in_flight[address] = entry.in_flight.get(address, 0) + 1
+    started_s = entry.world.clock.monotonic_s()
     try:
         if target.host == entry.board.own.host:
-            return await run_call(entry.owner, call)
-        return await _forward(entry, call, target)
+            outcome = await run_call(entry.owner, call)
+        else:
+            outcome = await _forward(entry, call, target)
+        now_s = entry.world.clock.monotonic_s()
+        latency_ms = (now_s - started_s) * 1000
+        observe(entry.health, target, outcome, latency_ms, now_s)
+        return outcome
     finally:
         entry.in_flight[address] -= 1
         if not entry.in_flight[address]:
@@ -224,6 +240,7 @@
                 headers=headers,
                 allow_redirects=False,
             ) as response:
+                _note_load(entry, target, response.headers.get(LOAD_HEADER, ""))
                 outcome = _outcome_of(response, await response.read())
                 _note_told(entry, call, response, outcome)
                 return outcome
@@ -253,6 +270,16 @@
         entry.on_brakes(brakes)
 
 
+def _note_load(entry: Entry, target: Target, report: str) -> None:
+    if not report.isdecimal() or len(report) > 6:
+        return
+    address = target.upstream.address
+    now_s = entry.world.clock.monotonic_s()
+    note_load(
+        entry.health, address, int(report), entry.in_flight.get(address, 0), now_s
+    )
+
+
 def _outcome_of(response: aiohttp.ClientResponse, body: bytes) -> Outcome:
     kind = response.headers.get(OUTCOME_HEADER, "")
     reason = response.headers.get(REASON_HEADER, "")
--- /dev/null
+++ b/agaterelay/tasks/operators/fleet.py
@@ -0,0 +1,116 @@
+"""Endpoints on the fleet: this node, all nodes, the metrics."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from agaterelay.core.membership import Member, MemberState
+from agaterelay.core.messages import NodeStatus
+from agaterelay.ports import PeerError
+from agaterelay.tasks.board import Board
+from agaterelay.tasks.operators.requests import Operators
+
+MAX_CONCURRENT_ASKS = 32
+
+
+def own_status(board: Board) -> NodeStatus:
+    """Return what this node says of itself."""
+    return NodeStatus(
+        host=board.own.host,
+        zone=board.own.zone,
+        active_revision=board.active.revision if board.active else 0,
+        held_revision=board.held.revision,
+        platform_up=board.platform_up,
+        stopping=board.stopping,
+        activated_ms=board.activated_ms,
+    )
+
+
+async def ask_hosts(
+    hosts: Iterable[str], ask: Callable[[str], Awaitable[Any]]
+) -> dict[str, Any]:
+    """Ask many hosts, some at a time.
+
+    Returns:
+        The answers by host; None for a host that did not answer.
+    """
+    permits = asyncio.Semaphore(MAX_CONCURRENT_ASKS)
+
+    async def ask_one(host: str) -> Any:
+        async with permits:
+            try:
+                return await ask(host)
+            except PeerError:
+                return None
+
+    hosts = list(hosts)
+    answers = await asyncio.gather(*(ask_one(host) for host in hosts))
+    return dict(zip(hosts, answers, strict=True))
+
+
+def other_hosts(board: Board) -> list[str]:
+    """Return the hosts whose nodes may answer, sorted, without this one."""
+    return sorted(
+        member.host
+        for member in board.members.values()
+        if member.usable and member.host != board.own.host
+    )
+
+
+async def show_node(operators: Operators, _: web.Request) -> web.Response:
+    """Return what this node says of itself."""
+    return web.json_response(attrs.asdict(own_status(operators.board)))
+
+
+async def show_status(operators: Operators, _: web.Request) -> web.Response:
+    """Return what every node says of itself, and which of them do not answer.
+
+    A host that gossip declared dead is ``lost``; one that is still believed to be
+    alive but does not answer this node is ``unreachable``.
+    """
+    board = operators.board
+    answers = await ask_hosts(other_hosts(board), operators.world.peers.status)
+    answers[board.own.host] = own_status(board)
+    nodes = [
+        {**attrs.asdict(answer), "operators_address": _operators_address(board, host)}
+        for host, answer in sorted(answers.items())
+        if answer is not None
+    ]
+    lost = [
+        member for member in board.members.values() if member.state is MemberState.DEAD
+    ]
+    unreachable = sorted(host for host, answer in answers.items() if answer is None)
+    return web.json_response(
+        {
+            "nodes": nodes,
+            "unreachable": unreachable,
+            "lost": sorted(member.host for member in lost),
+            "zones": {member.host: member.zone for member in board.members.values()},
+            "upstreams": _upstreams(board.members.values()),
+        }
+    )
+
+
+def _operators_address(board: Board, host: str) -> str:
+    member = board.members.get(host)
+    return member.operators_address if member else board.own.operators_address
+
+
+def _upstreams(members: Iterable[Member]) -> list[dict[str, Any]]:
+    return [
+        {**attrs.asdict(item), "host": member.host, "zone": member.zone}
+        for member in sorted(members, key=lambda member: member.host)
+        if member.usable
+        for item in member.upstreams
+    ]
+
+
+async def show_metrics(operators: Operators, _: web.Request) -> web.Response:
+    """Return the metrics in Prometheus' text format."""
+    body, content_type = operators.metrics.render()
+    return web.Response(body=body, headers={"Content-Type": content_type})
