--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -23,6 +25,7 @@
 
 MAX_MESSAGE_BYTES = 4 << 20
 MAX_CONCURRENT_RPCS = 64
+MAX_CHANNELS = 16
 _OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -33,10 +36,28 @@
     ("grpc.enable_http_proxy", 0),
 )
 
+# Status codes that a running peer itself answers with.
+_REACHED = frozenset(
+    {
+        grpc.StatusCode.RESOURCE_EXHAUSTED,
+        grpc.StatusCode.FAILED_PRECONDITION,
+        grpc.StatusCode.INVALID_ARGUMENT,
+        grpc.StatusCode.UNKNOWN,
+    }
+)
+
+
+@attrs.define
+class _Link:
+    channel: grpc.aio.Channel
+    stub: peer_pb2_grpc.PeerStub
+    calls: int = 0
+
 
 class PeerClient:
-    """Calls other nodes; keeps one channel to each that was called.
+    """Calls other nodes over a bounded number of channels.
 
+    The channel that was idle for longest is closed to make room for another one.
     ``count`` is told of every message: the method, and the bytes sent and received.
     """
 
@@ -45,22 +66,37 @@
         timeout_s: float,
         credentials: grpc.ChannelCredentials | None = None,
         count: Callable[[str, int, int], None] = lambda method, sent, received: None,
+        most_channels: int = MAX_CHANNELS,
     ) -> None:
         self._timeout_s = timeout_s
         self._credentials = credentials
         self.count = count
-        self._stubs: dict[str, tuple[grpc.aio.Channel, peer_pb2_grpc.PeerStub]] = {}
+        self._most_channels = most_channels
+        self._links: OrderedDict[str, _Link] = OrderedDict()
+        self._closing: set[asyncio.Task[None]] = set()
 
     def _open_channel(self, host: str) -> grpc.aio.Channel:
         if self._credentials is None:
             return grpc.aio.insecure_channel(host, options=_OPTIONS)
         return grpc.aio.secure_channel(host, self._credentials, options=_OPTIONS)
 
-    def _stub(self, host: str) -> peer_pb2_grpc.PeerStub:
-        if host not in self._stubs:
+    def _link(self, host: str) -> _Link:
+        link = self._links.get(host)
+        if link is None:
+            self._make_room()
             channel = self._open_channel(host)
-            self._stubs[host] = (channel, peer_pb2_grpc.PeerStub(channel))
-        return self._stubs[host][1]
+            link = _Link(channel, peer_pb2_grpc.PeerStub(channel))
+            self._links[host] = link
+        self._links.move_to_end(host)
+        return link
+
+    def _make_room(self) -> None:
+        idle = [host for host, link in self._links.items() if not link.calls]
+        surplus = len(self._links) + 1 - self._most_channels
+        for host in idle[: max(surplus, 0)]:
+            task = asyncio.create_task(self._links.pop(host).channel.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
 
     async def _call(
         self,
@@ -74,16 +110,21 @@
         Raises:
             PeerError: There was no answer, or one that makes no sense.
         """
+        link = self._link(host)
+        link.calls += 1
         try:
-            stub = self._stub(host)
-            reply = await getattr(stub, method)(request, timeout=self._timeout_s)
+            reply = await getattr(link.stub, method)(request, timeout=self._timeout_s)
             self.count(method, request.ByteSize(), reply.ByteSize())
             return decode(reply)
         except grpc.aio.AioRpcError as error:
             self.count(method, request.ByteSize(), 0)
-            raise PeerError(f"{method} to {host}: {error.code().name}") from error
+            code = error.code()
+            message = f"{method} to {host}: {code.name}"
+            raise PeerError(message, reached=code in _REACHED) from error
         except ValueError as error:
-            raise PeerError(f"{method} to {host}: {error}") from error
+            raise PeerError(f"{method} to {host}: {error}", reached=True) from error
+        finally:
+            link.calls -= 1
 
     async def exchange(self, host: str, exchange: Exchange) -> Exchange:
         """Probe a host and exchange views."""
@@ -134,8 +175,9 @@
 
     async def close(self) -> None:
         """Close all channels."""
-        for channel, _ in self._stubs.values():
-            await channel.close()
+        for link in self._links.values():
+            await link.channel.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
 
 
 @attrs.frozen
