--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -45,9 +45,9 @@
     return value
 
 
-def _seconds(value: float) -> float:
+def _real(value: float) -> float:
     if not 0 <= value < MAX_INTEGER:
-        raise ValueError(f"the time {value} s is out of bounds")
+        raise ValueError(f"the number {value} is out of bounds")
     return value
 
 
@@ -257,7 +257,8 @@
         trial=seen.trial,
         step=seen.step,
         first_failure_ms=seen.first_failure_ms,
-        age_s=seen.age_s,
+        rate=seen.rate,
+        in_flight=seen.in_flight,
         failing_s=seen.failing_s,
         recent=[
             pb.RecentCalls(
@@ -310,8 +311,9 @@
         step=_number(message.step),
         windows=windows_from_wire(message.routes),
         first_failure_ms=_number(message.first_failure_ms),
-        age_s=_seconds(message.age_s),
-        failing_s=_seconds(message.failing_s),
+        rate=_real(message.rate),
+        in_flight=_real(message.in_flight),
+        failing_s=_real(message.failing_s),
         recent=recent_from_wire(message.recent),
     )
     return EvidenceReport(report, brakes_from_wire(message.brakes))
--- a/agaterelay/core/demand.py
+++ b/agaterelay/core/demand.py
@@ -6,14 +6,7 @@
 
 import attrs
 
-from agaterelay.core.evidence import (
-    LATENCY_BOUNDS_MS,
-    MEDIUM_WINDOW_S,
-    Evidence,
-    Report,
-    Window,
-    calls_of,
-)
+from agaterelay.core.evidence import Report
 from agaterelay.core.model import Move, MoveProgress, MoveState
 
 FIRST_SHARE_PERMILLE = 10
@@ -21,7 +14,7 @@
 MAX_FIRST_SHARE_PERMILLE = 100
 # A part of the calls stays on the old version while the new one bakes, so that errors
 # common to both can still be told from the new version's own.
-BAKE_SHARE_PERMILLE = 950
+BAKE_SHARE_PERMILLE = 900
 FULL_SHARE_PERMILLE = 1000
 RAISE_FACTOR = 2
 MIN_DWELL_S = 2.0
@@ -30,14 +23,6 @@
 SLOTS_PART = 0.9
 # The time that a commit takes to be in force and its calls to be counted.
 COMMIT_S = 1.0
-_BUCKET_MS = tuple(
-    (low + high) / 2
-    for low, high in zip(
-        (0, *LATENCY_BOUNDS_MS),
-        (*LATENCY_BOUNDS_MS, 2 * LATENCY_BOUNDS_MS[-1]),
-        strict=True,
-    )
-)
 
 
 @attrs.frozen
@@ -49,29 +34,11 @@
 
 
 def demand_of(reports: Iterable[Report]) -> Demand:
-    """Return the demand that the owners of a service's upstreams saw together.
-
-    The rate is the higher one of the last seconds and of the whole trial, so that a
-    short pause of the callers does not make a move look late.
-    """
-    rate = 0.0
-    in_flight = 0.0
-    for report in reports:
-        if report.age_s <= 0:
-            continue
-        recent = report.windows.get(Window.MEDIUM, {})
-        span_s = max(min(report.age_s, MEDIUM_WINDOW_S), 1.0)
-        total = calls_of(report.windows.get(Window.TRIAL, {}))
-        rate += max(calls_of(recent) / span_s, total / max(report.age_s, 1.0))
-        in_flight += _busy_s(recent) / span_s
-    return Demand(rate, in_flight)
-
-
-def _busy_s(evidence: Evidence) -> float:
-    return sum(
-        count * middle_ms / 1000
-        for tally in evidence.values()
-        for middle_ms, count in zip(_BUCKET_MS, tally.latency_buckets, strict=True)
+    """Return the demand that the owners of a service's upstreams saw together."""
+    reports = list(reports)
+    return Demand(
+        sum(report.rate for report in reports),
+        sum(report.in_flight for report in reports),
     )
 
 
--- a/agaterelay/core/evidence.py
+++ b/agaterelay/core/evidence.py
@@ -1,7 +1,8 @@
 """What calls showed of the versions of a service, by route and by window of time.
 
-The old and the new version are only ever compared inside one window, so an error that
-strikes both says nothing about the new one. A node keeps its tallies in slots of a few
+The old and the new version are only ever compared inside one window of one step, so an
+error that strikes both says nothing about the new one: over several steps the new
+version's calls are later ones than the old version's. A node keeps its tallies in slots of a few
 seconds. A restarted node begins with none, for both versions alike.
 """
 
@@ -18,8 +19,17 @@
 # Upper bounds of the latency buckets in milliseconds; the last bucket is open.
 LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 BUCKET_COUNT = len(LATENCY_BOUNDS_MS) + 1
+_MIDDLES_MS = tuple(
+    (low + high) / 2
+    for low, high in zip(
+        (0, *LATENCY_BOUNDS_MS),
+        (*LATENCY_BOUNDS_MS, 2 * LATENCY_BOUNDS_MS[-1]),
+        strict=True,
+    )
+)
 SLOT_S = 1.0
 # The spans of the windows that end now; the others begin with a step and a trial.
+LAST_WINDOW_S = 2.0
 SHORT_WINDOW_S = 4.0
 MEDIUM_WINDOW_S = 20.0
 
@@ -27,6 +37,7 @@
 class Window(StrEnum):
     """The spans of time over which calls are summed."""
 
+    LAST = "last"
     SHORT = "short"
     MEDIUM = "medium"
     STEP = "step"
@@ -57,8 +68,9 @@
 class Report:
     """What one node saw of a trial.
 
-    ``step`` is the one that its STEP window covers, ``age_s`` the time for which the
-    node has counted, and ``failing_s`` the time since the new version's first failure
+    ``step`` is the one that its windows cover. ``rate`` is the service's calls per
+    second on the node, ``in_flight`` how many of them run at once on average, and
+    ``failing_s`` the time since the new version's first failure
     after a good while, up to the brake where there is one. ``recent`` has the new
     version's last slots.
     """
@@ -67,7 +79,8 @@
     step: int = 0
     windows: Windows = attrs.field(factory=dict)
     first_failure_ms: int = 0
-    age_s: float = 0.0
+    rate: float = 0.0
+    in_flight: float = 0.0
     failing_s: float = 0.0
     recent: Recent = attrs.field(factory=dict)
 
@@ -147,11 +160,9 @@
 
 def begin_step(ledger: Ledger, step: int) -> None:
     """Begin the STEP window anew where the move has taken a further step."""
-    if step <= ledger.step:
-        return
-    _fold(ledger, len(ledger.slots))
-    ledger.step = step
-    ledger.step_total = {}
+    if step > ledger.step:
+        ledger.step = step
+        ledger.step_total = {}
 
 
 def note_calls(
@@ -173,10 +184,12 @@
         calls: How many there were.
     """
     number = int(now_s / SLOT_S)
-    if not ledger.slots or ledger.slots[-1].number < number:
+    newest = ledger.slots[-1] if ledger.slots else None
+    if newest is None or (newest.number, newest.step) != (number, ledger.step):
         _fold(ledger, _expired(ledger, number))
-        ledger.slots.append(Slot(number, ledger.step))
-    evidence = ledger.slots[-1].evidence
+        newest = Slot(number, ledger.step)
+        ledger.slots.append(newest)
+    evidence = newest.evidence
     known = evidence.get(key, Tally())
     evidence[key] = count_call(known, failed, latency_ms, calls)
 
@@ -210,21 +223,27 @@
 
 
 def windows_of(ledger: Ledger, now_s: float) -> Windows:
-    """Return the sums over each window that ends now."""
+    """Return the sums over each window that ends now; only TRIAL spans steps."""
     if ledger.frozen is not None:
         return ledger.frozen
     number = int(now_s / SLOT_S)
     slots = [slot.evidence for slot in ledger.slots]
+    of_step = [slot.evidence for slot in ledger.slots if slot.step == ledger.step]
     return {
+        Window.LAST: _sum_newer(ledger, number - int(LAST_WINDOW_S / SLOT_S)),
         Window.SHORT: _sum_newer(ledger, number - int(SHORT_WINDOW_S / SLOT_S)),
         Window.MEDIUM: _sum_newer(ledger, number - int(MEDIUM_WINDOW_S / SLOT_S)),
-        Window.STEP: add_evidence((ledger.step_total, *slots)),
+        Window.STEP: add_evidence((ledger.step_total, *of_step)),
         Window.TRIAL: add_evidence((ledger.trial_total, *slots)),
     }
 
 
 def _sum_newer(ledger: Ledger, number: int) -> Evidence:
-    return add_evidence(slot.evidence for slot in ledger.slots if slot.number > number)
+    return add_evidence(
+        slot.evidence
+        for slot in ledger.slots
+        if slot.number > number and slot.step == ledger.step
+    )
 
 
 def recent_of(ledger: Ledger, now_s: float) -> Recent:
@@ -252,17 +271,43 @@
         ledger.frozen_s = now_s
 
 
+def demand_on(ledger: Ledger, now_s: float) -> tuple[float, float]:
+    """Return a node's calls per second, and its calls in flight on average.
+
+    The rate is the higher one of the last seconds and of the whole trial, so that a
+    short pause of the callers does not make a move look late.
+    """
+    age_s = max(now_s - ledger.began_s, 1.0)
+    span_s = min(age_s, MEDIUM_WINDOW_S)
+    first = int((now_s - span_s) / SLOT_S)
+    recent = add_evidence(slot.evidence for slot in ledger.slots if slot.number > first)
+    total = calls_of(ledger.trial_total)
+    total += sum(calls_of(slot.evidence) for slot in ledger.slots)
+    rate = max(calls_of(recent) / span_s, total / age_s)
+    return rate, _busy_s(recent) / span_s
+
+
+def _busy_s(evidence: Evidence) -> float:
+    return sum(
+        count * middle_ms / 1000
+        for tally in evidence.values()
+        for middle_ms, count in zip(_MIDDLES_MS, tally.latency_buckets, strict=True)
+    )
+
+
 def report_of(ledger: Ledger, now_s: float) -> Report:
     """Return what a node tells of its tallies."""
     failing_s = 0.0
     if ledger.first_failure_ms:
         failing_s = (ledger.frozen_s or now_s) - ledger.first_failure_s
+    rate, in_flight = demand_on(ledger, now_s)
     return Report(
         trial=ledger.trial,
         step=ledger.step,
         windows=windows_of(ledger, now_s),
         first_failure_ms=ledger.first_failure_ms,
-        age_s=now_s - ledger.began_s,
+        rate=rate,
+        in_flight=in_flight,
         failing_s=failing_s,
         recent=recent_of(ledger, now_s),
     )
--- a/agaterelay/core/messages.py
+++ b/agaterelay/core/messages.py
@@ -18,6 +18,11 @@
     reason: str
     first_failure_ms: int
 
+    @property
+    def move(self) -> str:
+        """The move's name."""
+        return self.trial.partition(":")[0]
+
 
 @attrs.frozen
 class Exchange:
--- a/agaterelay/core/steps.py
+++ b/agaterelay/core/steps.py
@@ -103,13 +103,15 @@
 ) -> dict[str, Report]:
     """Return the reports on the present trial.
 
-    The STEP window of a node that has not heard of the newest step yet covers an
-    earlier one, so it is left out.
+    The windows of a node that has not heard of the newest step yet cover an earlier
+    one, so that they say nothing of the present one but how a trial went as a whole.
     """
     return {
         host: report
         if report.step == progress.step
-        else attrs.evolve(report, windows={**report.windows, Window.STEP: {}})
+        else attrs.evolve(
+            report, windows={Window.TRIAL: report.windows.get(Window.TRIAL, {})}
+        )
         for host, report in reports.items()
         if report.trial == progress.trial
     }
--- a/agaterelay/core/verdict.py
+++ b/agaterelay/core/verdict.py
@@ -27,7 +27,7 @@
 
 # Chances per look; with some hundred looks a move the sum stays below one in 1,000.
 GATHERED_ALARM = 1e-6
-LOCAL_ALARM = 1e-7
+LOCAL_ALARM = 1e-9
 # A brake is itself evidence, so that less is asked of what confirms it.
 CONFIRM_ALARM = 1e-4
 SUSPECT_ALARM = 0.001
@@ -105,9 +105,11 @@
     old_bad, old_calls = _scale(*old)
     if new_bad < MIN_FAILURES:
         return 1.0
+    new_rate = new_bad / new_calls
     old_rate = old_bad / old_calls if old_calls else 0.0
+    # Twice a rate above one half is no rate; half of what is left has to do there.
     floor = max(MIN_RATIO * old_rate, old_rate + min_excess)
-    if new_bad / new_calls < min(floor, (1 + old_rate) / 2):
+    if new_rate <= old_rate or new_rate < min(floor, (1 + old_rate) / 2):
         return 1.0
     failures = PRIOR_FAILURES + old_bad
     successes = PRIOR_SUCCESSES + old_calls - old_bad
@@ -126,6 +128,8 @@
     """Return the strongest suspicion against the new version, None without any."""
     found: list[Suspicion] = []
     for window, evidence in windows.items():
+        if window is Window.TRIAL:
+            continue
         for route, version in evidence:
             if version == to_version:
                 found += _judge_failures(evidence, route, from_version, to_version)
--- a/agaterelay/tasks/brakes.py
+++ b/agaterelay/tasks/brakes.py
@@ -52,7 +52,10 @@
     for brake in added:
         freeze_trial(braker.tallies, brake.trial, now_s)
         braker.world.record(
-            EventKind.MOVE_BRAKED, trial=brake.trial, reason=brake.reason
+            EventKind.MOVE_BRAKED,
+            move=brake.move,
+            trial=brake.trial,
+            reason=brake.reason,
         )
     braker.told.set()
 
