--- a/tests/core/test_brake.py
+++ b/tests/core/test_brake.py
@@ -67,6 +67,13 @@
         assert share == present.share_permille
 
 
+def test_a_brake_touches_no_later_move_of_the_same_name_and_no_later_trial():
+    old = Brake(progress().trial, "bad", 1)
+    assert add_brakes({}, [old], snapshot(progress(started_s=1)))[0] == {}
+    assert add_brakes({}, [old], snapshot(progress(cleared=1)))[0] == {}
+    assert add_brakes({}, [old], snapshot(progress()))[0] == {old.trial: old}
+
+
 @given(progresses, progresses, brakes)
 def test_a_brake_lasts_until_its_trial_is_over(present, following, brakes):
     known, _ = add_brakes({}, brakes, snapshot(present))
--- a/tests/core/test_steps.py
+++ b/tests/core/test_steps.py
@@ -154,7 +154,7 @@
 
 def test_the_share_stays_within_the_slots_of_the_new_version():
     now = START + timedelta(seconds=60)
-    progress = stepping(400, now)
+    progress = stepping(200, now)
     busy = Report(
         progress.trial,
         progress.step,
@@ -166,8 +166,12 @@
         in_flight=19.0,
     )
     following = next_progress(MOVE, progress, MoveView({"h": busy}, new_slots=5), now)
-    assert following.share_permille <= 1000 * 5 / 19
-    assert following.state is MoveState.STEPPING
+    assert 200 < following.share_permille <= 1000 * 5 / 19
+    crowded = stepping(800, now)
+    busy = attrs.evolve(busy, step=crowded.step)
+    lowered = next_progress(MOVE, crowded, MoveView({"h": busy}, new_slots=5), now)
+    assert lowered.share_permille <= 1000 * 5 / 19
+    assert lowered.state is MoveState.STEPPING
 
 
 def slow(calls):
@@ -195,6 +199,16 @@
     assert next_progress(MOVE, progress, view, now).share_permille == 640
 
 
+def test_a_suspect_version_keeps_its_share():
+    now = START + timedelta(seconds=60)
+    progress = stepping(80, now)
+    few = report(progress, 40, 3, 800, old_bad=2)
+    suspicion = judge_reports({"h": few}, "v1", "v2")
+    assert GATHERED_ALARM < suspicion.chance < SUSPECT_ALARM
+    view = MoveView({"h": few}, new_slots=60)
+    assert next_progress(MOVE, progress, view, now) is None
+
+
 def test_a_time_that_cannot_be_met_is_said_early():
     now = START + timedelta(seconds=20)
     few = report(BEGUN, 0, 0, 2, rate=0.1)
