--- a/tests/scenarios/moves.feature
+++ b/tests/scenarios/moves.feature
@@ -35,7 +35,8 @@
     And the owner of panel-feed moves panel-feed in siamsong to v2 within 32 seconds
     And the stepper of cue-desk-v2 is frozen
     And the move cue-desk-v2 has a share of 20 permille
-    And the stepper of cue-desk-v2 is killed
+    Then v2 ran at most 10 in 100 calls of cue-desk
+    When the stepper of cue-desk-v2 is killed
     And the frozen stepper goes on
     Then the move panel-feed-v2 ends reverted in time
     And the move cue-desk-v2 ends done in time
--- a/tests/scenarios/test_moves.py
+++ b/tests/scenarios/test_moves.py
@@ -115,6 +115,13 @@
     watched.failing_since = time.time()
 
 
+@then(parsers.parse("{version} ran at most {part:d} in 100 calls of {service}"))
+def _small_share(site, version, part, service):
+    new = len(runs_of(site, service, version, None))
+    old = len(runs_of(site, service, "v1", None))
+    assert 100 * new <= part * (new + old)
+
+
 @then(parsers.parse("{version} of {service} gets no call soon after in {zone}"))
 def _no_calls(site, watched, version, service, zone):
     """Check that calls came after the fault, and none after the bound."""
