Ask more where the old version was hardly seen, and of one host alone

Ruled out: a weaker prior, which delays every verdict alike. Change: below 20 compared calls an alarm asks for a chance 1,000 times smaller; one host alone has to show six failures while others serve the version.

--- a/agaterelay/core/brake.py
+++ b/agaterelay/core/brake.py
@@ -15,6 +15,7 @@
 from agaterelay.core.steps import current_reports
 from agaterelay.core.verdict import (
     GATHERED_ALARM,
+    LOCAL_ALARM,
     SUSPECT_ALARM,
     find_failure,
     judge_reports,
@@ -47,7 +48,7 @@
         now_ms: The present time in milliseconds since 1970.
     """
     suspicion = find_failure(windows, progress.from_version, progress.to_version)
-    if suspicion is None or not suspicion.is_local_alarm:
+    if suspicion is None or not suspicion.passes(LOCAL_ALARM):
         return None
     return Brake(progress.trial, suspicion.reason, first_failure_ms or now_ms)
 
@@ -70,7 +71,7 @@
     """
     current = current_reports(progress, reports)
     suspicion = judge_reports(current, progress.from_version, progress.to_version)
-    if suspicion is None or suspicion.chance >= GATHERED_ALARM:
+    if suspicion is None or not suspicion.passes(GATHERED_ALARM):
         return None
     times_ms = [report.first_failure_ms for report in current.values()]
     first_ms = min((time_ms for time_ms in times_ms if time_ms), default=now_ms)
--- a/agaterelay/core/steps.py
+++ b/agaterelay/core/steps.py
@@ -88,7 +88,7 @@
     view = attrs.evolve(view, reports=current_reports(progress, view.reports))
     suspicion = judge_reports(view.reports, progress.from_version, progress.to_version)
     alarm = CONFIRM_ALARM if view.brakes else GATHERED_ALARM
-    if suspicion is not None and suspicion.chance < alarm:
+    if suspicion is not None and suspicion.passes(alarm):
         return take_back(progress, suspicion.reason, now, view)
     if view.brakes:
         return _after_false_brake(progress, view, now)
--- a/agaterelay/core/verdict.py
+++ b/agaterelay/core/verdict.py
@@ -28,12 +28,15 @@
 # Chances per look; with some hundred looks a move the sum stays below one in 1,000.
 GATHERED_ALARM = 1e-6
 LOCAL_ALARM = 1e-7
-# A node that saw hardly any call of the old version cannot tell a common error.
-BLIND_ALARM = 1e-9
+# With hardly any call of the old version in the window, a common error cannot be told
+# from the new version's own, so that much more is asked.
+BLIND_FACTOR = 1e-3
 MIN_COMPARED_CALLS = 20
 # A brake is itself evidence, so that less is asked of what confirms it.
 CONFIRM_ALARM = 1e-4
 SUSPECT_ALARM = 0.001
+# Failures that one host alone has to show while others serve the version as well.
+MIN_HOST_FAILURES = 6
 # The chance that other hosts look that good where the version fails as on one host.
 HOST_ALARM = 0.02
 # What is believed of an old version of which no call was seen.
@@ -62,11 +65,10 @@
     chance: float
     compared_calls: int = 0
 
-    @property
-    def is_local_alarm(self) -> bool:
-        """Whether it suffices for one node to stop the version alone."""
+    def passes(self, alarm: float) -> bool:
+        """Return whether the suspicion is strong enough for an alarm."""
         blind = self.compared_calls < MIN_COMPARED_CALLS
-        return self.chance < (BLIND_ALARM if blind else LOCAL_ALARM)
+        return self.chance < (alarm * BLIND_FACTOR if blind else alarm)
 
 
 def tail_chance(count: int, calls: int, failures: float, successes: float) -> float:
@@ -267,6 +269,8 @@
             failures += more_failures
             calls += more_calls
     successes = own_calls - own_failures
+    if not failures and own_failures < MIN_HOST_FAILURES:
+        return bool(others[Window.TRIAL].get(key, Tally()).calls)
     chance = tail_chance(calls - failures, calls, successes + 0.5, own_failures + 0.5)
     return chance < HOST_ALARM
 
