--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from agaterelay.adapters.outcomes import (
+    BRAKES_HEADER,
     DEADLINE_HEADER,
     HOP_HEADER,
     IDEMPOTENT_HEADER,
@@ -21,6 +22,7 @@
     VERSION_HEADER,
     refusal_headers,
 )
+from agaterelay.core.brake import encode_brakes
 from agaterelay.core.keys import parse_key
 from agaterelay.core.membership import MemberState
 from agaterelay.core.model import Priority
@@ -140,6 +142,9 @@
         response.force_close()
     if HOP_HEADER in request.headers:
         response.headers[LOAD_HEADER] = str(_in_flight(entry, request))
+        if entry.board.brakes:
+            brakes = entry.board.brakes.values()
+            response.headers[BRAKES_HEADER] = encode_brakes(brakes)
     return response
 
 
