--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -34,6 +34,8 @@
     ("grpc.max_reconnect_backoff_ms", 2000),
     ("grpc.so_reuseport", 0),
     ("grpc.enable_http_proxy", 0),
+    # Another channel to the same host does not inherit an older one's backoff.
+    ("grpc.use_local_subchannel_pool", 1),
 )
 
 # Status codes that a running peer itself answers with.
@@ -78,6 +80,11 @@
         self._links: OrderedDict[str, _Link] = OrderedDict()
         self._closing: set[asyncio.Task[None]] = set()
 
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """The hosts with an open channel, the longest idle first."""
+        return tuple(self._links)
+
     def _open_channel(self, host: str) -> grpc.aio.Channel:
         if self._credentials is None:
             return grpc.aio.insecure_channel(host, options=_OPTIONS)
--- /dev/null
+++ b/tests/tasks/test_upstreams.py
@@ -0,0 +1,89 @@
+"""Upstreams leave at once, lapse in time, and are told when their calls have ended."""
+
+import asyncio
+
+import attrs
+
+from agaterelay.core.membership import UpstreamInfo
+from agaterelay.tasks.upstreams import (
+    FINISH_TIMEOUT_S,
+    HEARTBEAT_TIMEOUT_S,
+    Upstreams,
+    announce,
+    expire_upstreams,
+    finish_calls,
+    forgive_pause,
+    withdraw,
+)
+from tests.tasks.fakes import settings_of, world_of
+
+INFO = UpstreamInfo("counter", "v1", "127.0.1.1:9000", 9)
+
+
+def start():
+    published = []
+    world, _ = world_of(settings_of("127.0.1.1:7001"))
+    return Upstreams(world, published.append), published
+
+
+def test_an_upstream_is_published_renewed_drained_and_withdrawn():
+    upstreams, published = start()
+    announce(upstreams, INFO)
+    draining = attrs.evolve(INFO, draining=True)
+    announce(upstreams, draining)
+    withdraw(upstreams, INFO.address)
+    assert published == [(INFO,), (draining,), ()]
+    assert withdraw(upstreams, INFO.address) is None
+
+
+def test_a_heartbeat_lapses_in_its_time_but_not_over_a_pause_of_the_node():
+    upstreams, _ = start()
+    announce(upstreams, INFO)
+    upstreams.world.clock.time_s = HEARTBEAT_TIMEOUT_S
+    expire_upstreams(upstreams)
+    assert INFO.address in upstreams.slots
+    upstreams.world.clock.time_s = 1000.0
+    forgive_pause(upstreams, 1000.0 - HEARTBEAT_TIMEOUT_S)
+    expire_upstreams(upstreams)
+    assert INFO.address in upstreams.slots
+    upstreams.world.clock.time_s += 0.1
+    expire_upstreams(upstreams)
+    assert INFO.address not in upstreams.slots
+
+
+def test_a_withdrawal_is_answered_when_the_calls_have_ended():
+    async def scenario():
+        upstreams, _ = start()
+        announce(upstreams, INFO)
+        item = upstreams.slots[INFO.address]
+        item.in_flight = 2
+        left = withdraw(upstreams, INFO.address)
+        assert left is item
+        clock = upstreams.world.clock
+        sleep = clock.sleep
+
+        async def end_a_call(delay_s):
+            await sleep(delay_s)
+            item.in_flight = max(item.in_flight - 1, 0)
+
+        type(clock).sleep = lambda _, delay_s: end_a_call(delay_s)
+        try:
+            assert await finish_calls(upstreams, left)
+        finally:
+            type(clock).sleep = sleep.__func__
+        assert item.in_flight == 0
+
+    asyncio.run(scenario())
+
+
+def test_a_call_that_never_ends_does_not_hold_an_upstream_for_ever():
+    async def scenario():
+        upstreams, _ = start()
+        announce(upstreams, INFO)
+        upstreams.slots[INFO.address].in_flight = 1
+        left = withdraw(upstreams, INFO.address)
+        assert not await finish_calls(upstreams, left)
+        assert upstreams.world.clock.time_s >= FINISH_TIMEOUT_S
+        assert await finish_calls(upstreams, None)
+
+    asyncio.run(scenario())
