Merge main into membership

The fakes of the tasks' tests existed on both sides; membership keeps only what it adds (tests/tasks/probes.py) and uses the clock and platform of the others.

--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -18,6 +18,7 @@
     REVISION_REFUSED = (203, "A revision is invalid; the old one serves on.")
     REVISION_COMMITTED = (204, "A new revision was committed to the platform.")
     CHANGE_REFUSED = (205, "An operator's change was refused.")
+    PARTS_DAMAGED = (206, "A body does not match its digest; others are asked for it.")
     PLATFORM_LOST = (210, "The platform does not answer.")
     PLATFORM_BACK = (211, "The platform answers again.")
     FLOOR_KNOWN = (212, "A restarted node learned the lowest revision to serve.")
@@ -36,6 +37,7 @@
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node sends the new version no more work.")
     MOVE_FINISHED = (502, "A move is done or reverted.")
+    MOVE_SUPERSEDED = (503, "A step had no effect; the move was elsewhere already.")
     TASK_FAILED = (900, "A task failed and was started again.")
     LIBRARY_WARNING = (901, "A library logged a warning.")
 
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from aiohttp import web
 
 from agaterelay.adapters.outcomes import (
+    BRAKES_HEADER,
     DEADLINE_HEADER,
     HOP_HEADER,
     IDEMPOTENT_HEADER,
@@ -21,22 +22,22 @@
     VERSION_HEADER,
     refusal_headers,
 )
+from agaterelay.core.brake import encode_brakes
 from agaterelay.core.keys import parse_key
 from agaterelay.core.membership import MemberState
 from agaterelay.core.model import Priority
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.core.retry import parse_retries
 from agaterelay.core.route_view import plain_view, view_of
-from agaterelay.events import EventKind
 from agaterelay.tasks.entry import Entry, Request, handle_request, mint_keys
 from agaterelay.tasks.owner import Call, run_call
 
 MAX_REQUEST_BYTES = 1 << 20
+HTTP_MAJOR_VERSION = 1
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 504
 OWN_PATH = "/agaterelay/v1/"
 # Refusals come in floods; the timeline keeps a part of them a second.
-MAX_EVENTS_PER_S = 20
 _OWN_HEADERS = frozenset(
     {"host", "connection", "content-length", "transfer-encoding", "request-id",
      "idempotency-key", "deadline-ms", "keep-alive", "expect", "upgrade", "te",
@@ -94,11 +95,27 @@
     return b"".join(chunks)
 
 
+def find_damaged_header(headers: Mapping[str, str]) -> str | None:
+    """Return the first header whose value cannot be sent on, None where all can."""
+    for name, value in headers.items():
+        if value.isascii() and value.isprintable():
+            continue
+        if not value.replace("\t", " ").isprintable():
+            return name if name.isascii() and name.isprintable() else "name"
+    return None
+
+
 async def handle(entry: Entry, request: web.BaseRequest) -> web.StreamResponse:
     """Serve one HTTP request, from a caller or from another node.
 
     Every answer names the request that it belongs to.
     """
+    if request.version.major != HTTP_MAJOR_VERSION:
+        return respond(Answered(505, (), b"only HTTP/1 is spoken here\n"))
+    damaged = find_damaged_header(request.headers)
+    if damaged is not None:
+        text = f"the header {damaged} holds bytes that are no text\n"
+        return respond(Answered(400, (), text.encode()))
     if request.path.startswith(OWN_PATH):
         return _answer_library(entry, request)
     response = await _serve(entry, request)
@@ -120,12 +137,14 @@
             outcome = await handle_request(entry, _caller_request(request, body))
     finally:
         entry.owner.in_flight -= 1
-    _note(entry, request, outcome)
     response = respond(outcome)
     if entry.board.own.state is MemberState.LEFT:
         response.force_close()
     if HOP_HEADER in request.headers:
         response.headers[LOAD_HEADER] = str(_in_flight(entry, request))
+        if entry.board.brakes:
+            brakes = entry.board.brakes.values()
+            response.headers[BRAKES_HEADER] = encode_brakes(brakes)
     return response
 
 
@@ -168,28 +187,6 @@
     )
 
 
-def _note(entry: Entry, request: web.BaseRequest, outcome: Outcome) -> None:
-    if isinstance(outcome, Answered) or not _has_room(entry):
-        return
-    not_run = isinstance(outcome, NotRun)
-    entry.owner.world.record(
-        EventKind.CALL_NOT_RUN if not_run else EventKind.CALL_UNKNOWN,
-        request_id=request.headers.get(REQUEST_ID_HEADER, ""),
-        path=request.path,
-        reason=outcome.reason,
-    )
-
-
-def _has_room(entry: Entry) -> bool:
-    """Return whether the timeline takes another event of this second."""
-    second = int(entry.clock.monotonic_s())
-    if second != entry.events_second:
-        entry.events_second = second
-        entry.events = 0
-    entry.events += 1
-    return entry.events <= MAX_EVENTS_PER_S
-
-
 def _caller_request(request: web.BaseRequest, body: bytes) -> Request:
     return Request(
         method=request.method,
--- a/agaterelay/tasks/observe.py
+++ b/agaterelay/tasks/observe.py
@@ -8,7 +8,14 @@
 from aiohttp import web
 
 from agaterelay.adapters.metrics import Metrics, Readings
-from agaterelay.adapters.outcomes import HOP_HEADER, OUTCOME_HEADER, REASON_HEADER
+from agaterelay.adapters.outcomes import (
+    HOP_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REQUEST_ID_HEADER,
+    ROUTE_HEADER,
+    VERSION_HEADER,
+)
 from agaterelay.core.model import FINAL_MOVE_STATES
 from agaterelay.core.routing import match_route
 from agaterelay.events import EventKind
@@ -20,6 +27,8 @@
 NOT_SERVED = "not-served"
 SERVER_ERROR_STATUS = 500
 MAX_ID_LENGTH = 128
+MAX_PATH_LENGTH = 200
+_REFUSALS = {"not-run": EventKind.CALL_NOT_RUN, "unknown": EventKind.CALL_UNKNOWN}
 
 # Is told of a request, its response, and the seconds between them.
 Observer = Callable[[web.BaseRequest, web.Response, float], None]
@@ -40,7 +49,7 @@
         platform_up=board.platform_up,
         members=states,
         calls_in_flight=owner.in_flight,
-        calls_queued=len(getattr(owner, "waiting", ())),
+        calls_queued=len(owner.waiting),
         slots=slots,
         slots_in_use=in_use,
         move_shares=_move_shares(board),
@@ -71,27 +80,48 @@
     def observe(
         request: web.BaseRequest, response: web.Response, elapsed_s: float
     ) -> None:
-        headers = response.headers
-        outcome = headers.get(OUTCOME_HEADER, NOT_SERVED)
+        outcome = response.headers.get(OUTCOME_HEADER, NOT_SERVED)
         if HOP_HEADER in request.headers:
             metrics.count_hop(outcome)
-            return
-        route = _route_of(board, request)
-        metrics.count_call(route, outcome, elapsed_s)
-        if outcome not in (ANSWERED, NOT_SERVED):
-            metrics.count_refusal(headers.get(REASON_HEADER, ""))
-        elif outcome == ANSWERED and response.status >= SERVER_ERROR_STATUS:
-            world.record(
-                EventKind.CALL_FAILED,
-                request_id=request.headers.get("Request-Id", "")[:MAX_ID_LENGTH],
-                route=route,
-                status=response.status,
-                elapsed_ms=round(elapsed_s * 1000, 1),
-            )
+            route = request.headers.get(ROUTE_HEADER, NO_ROUTE)
+        else:
+            route = _route_of(board, request)
+            metrics.count_call(route, outcome, elapsed_s)
+            if outcome in _REFUSALS:
+                metrics.count_refusal(response.headers.get(REASON_HEADER, ""))
+        kind = _REFUSALS.get(outcome)
+        if outcome == ANSWERED and response.status >= SERVER_ERROR_STATUS:
+            kind = EventKind.CALL_FAILED
+        if kind is not None:
+            _record_call(world, kind, request, response, route, elapsed_s)
 
     return observe
 
 
+def _record_call(
+    world: World,
+    kind: EventKind,
+    request: web.BaseRequest,
+    response: web.Response,
+    route: str,
+    elapsed_s: float,
+) -> None:
+    """Record how a call ended at this node, as its entry or as an upstream's owner."""
+    hop = HOP_HEADER in request.headers
+    world.record(
+        kind,
+        request_id=request.headers.get(REQUEST_ID_HEADER, "")[:MAX_ID_LENGTH],
+        at="owner" if hop else "entry",
+        method=request.method,
+        path=request.path[:MAX_PATH_LENGTH],
+        route=route,
+        version=request.headers.get(VERSION_HEADER, ""),
+        status=response.status,
+        reason=response.headers.get(REASON_HEADER, ""),
+        elapsed_ms=round(elapsed_s * 1000, 1),
+    )
+
+
 def _route_of(board: Board, request: web.BaseRequest) -> str:
     snapshot = board.active
     if snapshot is None:
--- a/agaterelay/tasks/operators/moves.py
+++ b/agaterelay/tasks/operators/moves.py
@@ -6,16 +6,17 @@
 from aiohttp import web
 
 from agaterelay.core.manifest import plain
-from agaterelay.core.model import FINAL_MOVE_STATES, MoveState, Snapshot
-from agaterelay.ports import PlatformError
-from agaterelay.tasks.committer import commit_move
+from agaterelay.core.model import Snapshot
+from agaterelay.ports import NotCommittedError, PlatformError
+from agaterelay.tasks.committer import commit_take_back
+from agaterelay.tasks.mover import describe_moves
 from agaterelay.tasks.operators.requests import Operators, key_is_of, key_of, refuse
 
 
 async def show_moves(operators: Operators, _: web.Request) -> web.Response:
-    """Return how far every move has come."""
+    """Return how far every move has come, and the evidence on the open ones."""
     snapshot = operators.board.active
-    moves = [plain(item) for item in snapshot.manifest.moves] if snapshot else []
+    moves = await describe_moves(operators.mover)
     brakes = [attrs.asdict(item) for item in operators.board.brakes.values()]
     revision = snapshot.revision if snapshot else 0
     return web.json_response({"revision": revision, "moves": moves, "brakes": brakes})
@@ -32,21 +33,12 @@
     if not key_is_of(operators, key_of(request), owner):
         message = f"move {name!r} belongs to owner {owner!r}, and the key is not theirs"
         return refuse(403, "forbidden", message)
-    if progress.state in FINAL_MOVE_STATES:
-        message = f"move {name!r} is {progress.state} already"
-        return refuse(409, "finished", message)
-    now = operators.world.clock.now()
-    taken_back = attrs.evolve(
-        progress,
-        state=MoveState.REVERTED,
-        share_permille=0,
-        reason="taken back by an operator",
-        finished_at=now,
-    )
-    change_id = f"{name}:{snapshot.revision}:take-back"
-    note = f"{name} taken back by an operator"
+    change_id = f"{progress.identity}:take-back"
+    reason = "taken back by an operator"
     try:
-        record = await commit_move(operators.committer, taken_back, change_id, note)
+        record = await commit_take_back(operators.committer, name, reason, change_id)
+    except NotCommittedError as error:
+        return refuse(503, "platform", f"the move was not taken back: {error}")
     except PlatformError as error:
         message = f"it is not known whether the move was taken back: {error}"
         return refuse(503, "platform", message)
--- /dev/null
+++ b/tests/tasks/probes.py
@@ -0,0 +1,38 @@
+"""Fakes for membership: peers that answer probes, and a world around a host."""
+
+import attrs
+
+from agaterelay.core.timeline import Timeline
+from agaterelay.ports import PeerError
+from agaterelay.tasks.board import World
+from tests.tasks.fakes import FakePlatform, ManualClock, make_settings
+
+ZONES = ("bangkok-1", "bangkok-2", "bangkok-3", "bangkok-4")
+
+
+@attrs.define
+class ProbedPeers:
+    """Hosts that answer probes by a function; all others do not answer."""
+
+    answers: dict = attrs.field(factory=dict)
+    asked: list = attrs.field(factory=list)
+
+    async def exchange(self, host, exchange):
+        self.asked.append(host)
+        if host not in self.answers:
+            raise PeerError("no answer")
+        return self.answers[host](exchange)
+
+
+def world_of(host, table=None, peers=None):
+    """Return the world of a host of the first zone."""
+    clock = ManualClock()
+    return World(
+        settings=attrs.evolve(make_settings(host, ZONES[0]), zones=ZONES),
+        clock=clock,
+        table=table or FakePlatform(),
+        objects=None,
+        peers=peers or ProbedPeers(),
+        timeline=Timeline(host, clock.now),
+        record=lambda kind, **fields: None,
+    )
--- a/tests/tasks/test_registry.py
+++ b/tests/tasks/test_registry.py
@@ -21,14 +21,15 @@
     check_rows,
     join,
 )
-from tests.tasks.fakes import EPOCH, FakePeers, FakeTable, settings_of, world_of
+from tests.tasks.fakes import START, FakePlatform
+from tests.tasks.probes import ProbedPeers, world_of
 
 OWN = "127.0.1.1:7001"
 OLD = Member(OWN, "bangkok-1", 1 << 60, 7)
 
 
 def registry_of(table, peers):
-    world, _ = world_of(settings_of(OWN), table=table, peers=peers)
+    world = world_of(OWN, table, peers)
     board = Board(Member(OWN, "bangkok-1", 0, 0))
     gossip = Gossip(
         world,
@@ -42,7 +43,7 @@
 
 
 def row_of(zone, hosts, incarnation=1):
-    row = RegistryRow(zone, EPOCH, tuple(Listing(host, incarnation) for host in hosts))
+    row = RegistryRow(zone, START, tuple(Listing(host, incarnation) for host in hosts))
     return Row(encode_row(row), 3)
 
 
@@ -57,18 +58,18 @@
 )
 def test_a_join_reads_few_rows_however_many_hosts_there_are(count, zones):
     hosts = [f"127.0.2.{number}:7001" for number in range(count)]
-    table = FakeTable({row_name(zone): row_of(zone, hosts) for zone in zones})
-    registry = registry_of(table, FakePeers())
+    table = FakePlatform({row_name(zone): row_of(zone, hosts) for zone in zones})
+    registry = registry_of(table, ProbedPeers())
     asyncio.run(join(registry))
-    assert table.reads <= 1 + OTHER_ROWS
+    assert table.table_reads <= 1 + OTHER_ROWS
     assert registry.gossip.board.own.incarnation > 0
 
 
 def test_a_joiner_takes_a_higher_incarnation_than_any_peer_knows():
     peer = "127.0.1.2:7001"
     dead = attrs.evolve(OLD, state=MemberState.DEAD)
-    table = FakeTable({row_name("bangkok-1"): row_of("bangkok-1", [peer])})
-    peers = FakePeers({peer: answer_with(peer, (dead,))})
+    table = FakePlatform({row_name("bangkok-1"): row_of("bangkok-1", [peer])})
+    peers = ProbedPeers({peer: answer_with(peer, (dead,))})
     registry = registry_of(table, peers)
     asyncio.run(join(registry))
     board = registry.gossip.board
@@ -78,32 +79,32 @@
 
 def test_a_joiner_learns_of_its_predecessor_from_the_row_alone():
     row = row_of("bangkok-1", [OWN], OLD.incarnation)
-    registry = registry_of(FakeTable({row_name("bangkok-1"): row}), FakePeers())
+    registry = registry_of(FakePlatform({row_name("bangkok-1"): row}), ProbedPeers())
     asyncio.run(join(registry))
     assert registry.gossip.board.own.incarnation > OLD.incarnation
 
 
 def test_a_stale_row_and_a_platform_outage_only_cost_time():
     for table in (
-        FakeTable({row_name("bangkok-1"): row_of("bangkok-1", ["127.0.1.9:7001"])}),
-        FakeTable(down=True),
+        FakePlatform({row_name("bangkok-1"): row_of("bangkok-1", ["127.0.1.9:7001"])}),
+        FakePlatform(table_up=False),
     ):
-        registry = registry_of(table, FakePeers())
+        registry = registry_of(table, ProbedPeers())
         asyncio.run(join(registry))
         assert registry.gossip.board.own.incarnation > 0
-        assert registry.gossip.world.clock.time_s < 2 * JOIN_GIVE_UP_S
+        assert registry.gossip.world.clock.passed_s < 2 * JOIN_GIVE_UP_S
 
 
 def test_an_empty_registry_means_the_first_host_and_no_wait():
-    registry = registry_of(FakeTable(), FakePeers())
+    registry = registry_of(FakePlatform(), ProbedPeers())
     asyncio.run(join(registry))
-    assert registry.gossip.world.clock.time_s == 0
+    assert registry.gossip.world.clock.passed_s == 0
 
 
 def test_the_loser_of_a_race_for_the_row_meets_the_winner():
     winner = "127.0.1.2:7001"
-    table = FakeTable()
-    peers = FakePeers({winner: answer_with(winner)})
+    table = FakePlatform()
+    peers = ProbedPeers({winner: answer_with(winner)})
     registry = registry_of(table, peers)
     asyncio.run(join(registry))
     read = table.read
@@ -123,7 +124,7 @@
 
 @attrs.define
 class Losing:
-    table: FakeTable
+    table: FakePlatform
     read: object
 
     async def write(self, *arguments):
