--- a/tests/tasks/test_upstreams.py
+++ b/tests/tasks/test_upstreams.py
@@ -15,15 +15,14 @@
     forgive_pause,
     withdraw,
 )
-from tests.tasks.world_fakes import settings_of, world_of
+from tests.tasks.probes import world_of
 
 INFO = UpstreamInfo("counter", "v1", "127.0.1.1:9000", 9)
 
 
 def start():
     published = []
-    world, _ = world_of(settings_of("127.0.1.1:7001"))
-    return Upstreams(world, published.append), published
+    return Upstreams(world_of("127.0.1.1:7001"), published.append), published
 
 
 def test_an_upstream_is_published_renewed_drained_and_withdrawn():
@@ -39,14 +38,14 @@
 def test_a_heartbeat_lapses_in_its_time_but_not_over_a_pause_of_the_node():
     upstreams, _ = start()
     announce(upstreams, INFO)
-    upstreams.world.clock.time_s = HEARTBEAT_TIMEOUT_S
+    upstreams.world.clock.passed_s = HEARTBEAT_TIMEOUT_S
     expire_upstreams(upstreams)
     assert INFO.address in upstreams.slots
-    upstreams.world.clock.time_s = 1000.0
+    upstreams.world.clock.passed_s = 1000.0
     forgive_pause(upstreams, 1000.0 - HEARTBEAT_TIMEOUT_S)
     expire_upstreams(upstreams)
     assert INFO.address in upstreams.slots
-    upstreams.world.clock.time_s += 0.1
+    upstreams.world.clock.passed_s += 0.1
     expire_upstreams(upstreams)
     assert INFO.address not in upstreams.slots
 
@@ -83,7 +82,7 @@
         upstreams.slots[INFO.address].in_flight = 1
         left = withdraw(upstreams, INFO.address)
         assert not await finish_calls(upstreams, left)
-        assert upstreams.world.clock.time_s >= FINISH_TIMEOUT_S
+        assert upstreams.world.clock.passed_s >= FINISH_TIMEOUT_S
         assert await finish_calls(upstreams, None)
 
     asyncio.run(scenario())
