--- a/agaterelay/core/verdict.py
+++ b/agaterelay/core/verdict.py
@@ -46,6 +46,8 @@
 MIN_EXCESS_RATE = 0.01
 MIN_RATIO = 2.0
 MIN_SLOW_RATE = 0.2
+# A few slow calls in a row are a pause of the host more often than a slow version.
+MIN_SLOW_CALLS = 10
 MIN_OLD_LATENCIES = 20
 # Tallies above this are scaled down, which only makes the test more careful.
 MAX_TEST_CALLS = 4000
@@ -184,7 +186,9 @@
     slow, calls = count_slow(new, bound)
     chance = compare_rates((slow, calls), count_slow(old, bound), MIN_SLOW_RATE)
     recent_slow, recent_calls = count_slow(recent, bound)
-    if chance < 1 and recent_slow >= MIN_SLOW_RATE * recent_calls:
+    if slow < MIN_SLOW_CALLS or recent_slow < MIN_SLOW_RATE * recent_calls:
+        return
+    if chance < 1:
         yield Suspicion(
             route,
             f"route {route}: {slow} of {calls} calls took longer than "
