--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -11,6 +11,7 @@
 import grpc
 
 from agaterelay.adapters import wire
+from agaterelay.core.floors import FloorAnswer
 from agaterelay.core.messages import (
     EventsReport,
     EvidenceReport,
@@ -49,9 +50,12 @@
 
 @attrs.define
 class _Link:
+    """A channel and the calls under way on it; ``broken`` where one found nobody."""
+
     channel: grpc.aio.Channel
     stub: peer_pb2_grpc.PeerStub
     calls: int = 0
+    broken: bool = False
 
 
 class PeerClient:
@@ -94,9 +98,21 @@
         idle = [host for host, link in self._links.items() if not link.calls]
         surplus = len(self._links) + 1 - self._most_channels
         for host in idle[: max(surplus, 0)]:
-            task = asyncio.create_task(self._links.pop(host).channel.close())
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+            self._close(self._links.pop(host))
+
+    def _close(self, link: _Link) -> None:
+        task = asyncio.create_task(link.channel.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    def _give_up(self, host: str, link: _Link) -> None:
+        """Make the next call to a host connect at once, not after a backoff.
+
+        Whoever calls has a backoff of its own, and a host may be back in a moment.
+        """
+        link.broken = True
+        if self._links.get(host) is link:
+            del self._links[host]
 
     async def _call(
         self,
@@ -119,12 +135,16 @@
         except grpc.aio.AioRpcError as error:
             self.count(method, request.ByteSize(), 0)
             code = error.code()
+            if code is grpc.StatusCode.UNAVAILABLE:
+                self._give_up(host, link)
             message = f"{method} to {host}: {code.name}"
             raise PeerError(message, reached=code in _REACHED) from error
         except ValueError as error:
             raise PeerError(f"{method} to {host}: {error}", reached=True) from error
         finally:
             link.calls -= 1
+            if link.broken and not link.calls:
+                self._close(link)
 
     async def exchange(self, host: str, exchange: Exchange) -> Exchange:
         """Probe a host and exchange views."""
@@ -147,16 +167,12 @@
         reply = await self._call(host, "Fetch", request)
         return Fetched(dict(reply.bodies), reply.retry_after_s)
 
-    async def witness(self, host: str, own_host: str, revision: int) -> int:
-        """Tell a host which revision this one is about to serve.
-
-        Returns:
-            The highest revision that the other saw this host serve.
-        """
+    async def witness(self, host: str, own_host: str, revision: int) -> FloorAnswer:
+        """Tell a host which revision this one is about to serve; ask for the floor."""
         request = pb.WitnessRequest(
             protocol=wire.PROTOCOL, host=own_host, revision=revision
         )
-        return (await self._call(host, "Witness", request)).floor
+        return wire.floor_from_wire(await self._call(host, "Witness", request))
 
     async def evidence(self, host: str, trial: str) -> EvidenceReport:
         """Ask a host what it saw of a trial of a move."""
@@ -187,8 +203,8 @@
     exchange: Callable[[Exchange], Exchange]
     probe_for: Callable[[str], Awaitable[bool]]
     notify: Callable[[Notify], int]
-    fetch: Callable[[tuple[str, ...]], Awaitable[Fetched]]
-    witness: Callable[[str, int], int]
+    fetch: Callable[[tuple[str, ...]], Fetched]
+    witness: Callable[[str, int], FloorAnswer]
     evidence: Callable[[str], EvidenceReport]
     events: Callable[[EventsQuery], EventsReport]
     status: Callable[[], NodeStatus]
@@ -237,13 +253,13 @@
     async def Fetch(self, request, context):  # noqa: N802
         """Hand out bodies."""
         digests = await self._decode(wire.digests_from_wire, request, context)
-        fetched = await self._handlers.fetch(digests)
+        fetched = self._handlers.fetch(digests)
         return pb.FetchReply(bodies=fetched.bodies, retry_after_s=fetched.retry_after_s)
 
     async def Witness(self, request, context):  # noqa: N802
         """Remember what a host serves."""
         host, revision = await self._decode(wire.witness_from_wire, request, context)
-        return pb.WitnessReply(floor=self._handlers.witness(host, revision))
+        return wire.floor_to_wire(self._handlers.witness(host, revision))
 
     async def Evidence(self, request, context):  # noqa: N802
         """Tell what this node saw of a move."""
--- a/agaterelay/core/routing.py
+++ b/agaterelay/core/routing.py
@@ -66,6 +66,8 @@
 def choose_version(shares: dict[str, int], draw: random.Random) -> str:
     """Draw a version by its share."""
     versions = list(shares)
+    if len(versions) == 1:
+        return versions[0]
     return draw.choices(versions, weights=[shares[name] for name in versions])[0]
 
 
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -42,6 +42,7 @@
 from agaterelay.tasks.calls import start_calls_server
 from agaterelay.tasks.committer import Committer
 from agaterelay.tasks.entry import Entry
+from agaterelay.tasks.fetcher import serve_fetch
 from agaterelay.tasks.gather import Gatherer, gather_view, serve_evidence
 from agaterelay.tasks.gossip import (
     Gossip,
@@ -51,11 +52,12 @@
 from agaterelay.tasks.keeper import (
     Keeper,
     post,
+    run_activation,
     run_keeper,
-    serve_fetch,
     serve_witness,
 )
 from agaterelay.tasks.mover import Mover, run_mover
+from agaterelay.tasks.observe import make_observer, read_node
 from agaterelay.tasks.operators import (
     Operators,
     own_events,
@@ -71,7 +73,7 @@
     run_probes,
     serve_probe_for,
 )
-from agaterelay.tasks.reader import run_reader
+from agaterelay.tasks.reader import Reader, run_reader
 from agaterelay.tasks.registry import Registry, run_registry
 from agaterelay.tasks.tallies import Tallies
 from agaterelay.tasks.upstreams import Upstreams, run_upstreams
@@ -103,6 +105,7 @@
     world: World
     board: Board
     keeper: Keeper
+    reader: Reader
     gossip: Gossip
     prober: Prober
     upstreams: Upstreams
@@ -151,17 +154,18 @@
     upstreams = Upstreams(world, lambda infos: set_upstreams(gossip, infos))
     owner = Owner(world, board, window, ports.session, upstreams.slots, tallies=tallies)
     mover = Mover(world, board, Gatherer(world, board, tallies), braker, committer)
-    metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
+    metrics = Metrics(lambda: read_node(board, owner))
     return Node(
         world=world,
         board=board,
         keeper=keeper,
+        reader=Reader(world, board, keeper, clock.monotonic_s()),
         gossip=gossip,
         prober=Prober(gossip),
         upstreams=upstreams,
         owner=owner,
         entry=Entry(
-            world,
+            world.clock,
             board,
             owner,
             ports.session,
@@ -184,7 +188,9 @@
         exchange=lambda exchange: serve_exchange(node.gossip, exchange),
         probe_for=lambda host: serve_probe_for(node.gossip, host),
         notify=take_notify,
-        fetch=lambda digests: serve_fetch(node.keeper, digests),
+        fetch=lambda digests: serve_fetch(
+            node.keeper.bodies, digests, node.world.clock.monotonic_s()
+        ),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
         evidence=lambda trial: serve_evidence(node.mover.gatherer, trial),
         events=lambda query: own_events(node.world, query),
@@ -242,7 +248,9 @@
         settings.peers_address, peer_handlers(node), tls.server if tls else None
     )
     operators = await start_operators_server(node.operators, settings.operators_address)
-    calls = await start_calls_server(node.entry, settings.calls_address)
+    peers.count = node.operators.metrics.count_peer_message
+    observe = make_observer(node.world, node.board, node.operators.metrics)
+    calls = await start_calls_server(node.entry, settings.calls_address, observe)
     node.world.record(EventKind.NODE_STARTED, zone=settings.zone)
     tasks = _start_tasks(node)
     await stopping.wait()
@@ -270,7 +278,8 @@
 def _start_tasks(node: Node) -> list[asyncio.Task[None]]:
     starts: dict[str, Any] = {
         "keeper": lambda: run_keeper(node.keeper),
-        "reader": lambda: run_reader(node.world, node.board, node.keeper),
+        "activation": lambda: run_activation(node.keeper),
+        "reader": lambda: run_reader(node.reader),
         "registry": lambda: run_registry(Registry(node.gossip)),
         "probes": lambda: run_probes(node.prober),
         "news": lambda: run_news(node.prober),
--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
+
 from aiohttp import web
 
 from agaterelay.adapters.outcomes import (
@@ -26,16 +28,16 @@
 from agaterelay.core.model import Priority
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.core.retry import parse_retries
-from agaterelay.events import EventKind
+from agaterelay.core.route_view import plain_view, view_of
 from agaterelay.tasks.entry import Entry, Request, handle_request, mint_keys
 from agaterelay.tasks.owner import Call, run_call
 
 MAX_REQUEST_BYTES = 1 << 20
+HTTP_MAJOR_VERSION = 1
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 504
 OWN_PATH = "/agaterelay/v1/"
 # Refusals come in floods; the timeline keeps a part of them a second.
-MAX_EVENTS_PER_S = 20
 _OWN_HEADERS = frozenset(
     {"host", "connection", "content-length", "transfer-encoding", "request-id",
      "idempotency-key", "deadline-ms", "keep-alive", "expect", "upgrade", "te",
@@ -93,11 +95,27 @@
     return b"".join(chunks)
 
 
+def find_damaged_header(headers: Mapping[str, str]) -> str | None:
+    """Return the first header whose value cannot be sent on, None where all can."""
+    for name, value in headers.items():
+        if value.isascii() and value.isprintable():
+            continue
+        if not value.replace("\t", " ").isprintable():
+            return name if name.isascii() and name.isprintable() else "name"
+    return None
+
+
 async def handle(entry: Entry, request: web.BaseRequest) -> web.StreamResponse:
     """Serve one HTTP request, from a caller or from another node.
 
     Every answer names the request that it belongs to.
     """
+    if request.version.major != HTTP_MAJOR_VERSION:
+        return respond(Answered(505, (), b"only HTTP/1 is spoken here\n"))
+    damaged = find_damaged_header(request.headers)
+    if damaged is not None:
+        text = f"the header {damaged} holds bytes that are no text\n"
+        return respond(Answered(400, (), text.encode()))
     if request.path.startswith(OWN_PATH):
         return _answer_library(entry, request)
     response = await _serve(entry, request)
@@ -119,7 +137,6 @@
             outcome = await handle_request(entry, _caller_request(request, body))
     finally:
         entry.owner.in_flight -= 1
-    _note(entry, request, outcome)
     response = respond(outcome)
     if entry.board.own.state is MemberState.LEFT:
         response.force_close()
@@ -133,8 +150,22 @@
 
 def _answer_library(entry: Entry, request: web.BaseRequest) -> web.Response:
     """Answer what the caller library asks of a node."""
-    if request.path != OWN_PATH + "keys" or request.method != "POST":
-        return web.json_response({"error": "no such resource"}, status=404)
+    if request.path == OWN_PATH + "routes" and request.method == "GET":
+        return _answer_routes(entry)
+    if request.path == OWN_PATH + "keys" and request.method == "POST":
+        return _answer_keys(entry, request)
+    return web.json_response({"error": "no such resource"}, status=404)
+
+
+def _answer_routes(entry: Entry) -> web.Response:
+    board = entry.board
+    if board.active is None or board.stopping:
+        return web.json_response({"error": "this node serves nothing"}, status=503)
+    view = view_of(board.active, board.own, board.members, board.brakes)
+    return web.json_response(plain_view(view))
+
+
+def _answer_keys(entry: Entry, request: web.BaseRequest) -> web.Response:
     method = request.query.get("method", "POST")
     count = request.query.get("count", "1")
     if not count.isdecimal() or len(count) > 3:
@@ -156,28 +187,6 @@
     )
 
 
-def _note(entry: Entry, request: web.BaseRequest, outcome: Outcome) -> None:
-    if isinstance(outcome, Answered) or not _has_room(entry):
-        return
-    not_run = isinstance(outcome, NotRun)
-    entry.world.record(
-        EventKind.CALL_NOT_RUN if not_run else EventKind.CALL_UNKNOWN,
-        request_id=request.headers.get(REQUEST_ID_HEADER, ""),
-        path=request.path,
-        reason=outcome.reason,
-    )
-
-
-def _has_room(entry: Entry) -> bool:
-    """Return whether the timeline takes another event of this second."""
-    second = int(entry.world.clock.monotonic_s())
-    if second != entry.events_second:
-        entry.events_second = second
-        entry.events = 0
-    entry.events += 1
-    return entry.events <= MAX_EVENTS_PER_S
-
-
 def _caller_request(request: web.BaseRequest, body: bytes) -> Request:
     return Request(
         method=request.method,
@@ -205,7 +214,7 @@
         service=headers.get(SERVICE_HEADER, ""),
         version=headers.get(VERSION_HEADER, ""),
         request_id=headers.get(REQUEST_ID_HEADER, ""),
-        deadline_s=entry.world.clock.monotonic_s() + left_s,
+        deadline_s=entry.clock.monotonic_s() + left_s,
         key=parse_key(headers.get(KEY_HEADER, "")),
         idempotent=headers.get(IDEMPOTENT_HEADER) == "1",
         priority=Priority.BULK if bulk else Priority.INTERACTIVE,
@@ -213,15 +222,24 @@
     )
 
 
-async def start_calls_server(entry: Entry, address: str) -> web.ServerRunner:
-    """Start to serve callers.
+async def start_calls_server(
+    entry: Entry,
+    address: str,
+    observe: Callable[[web.BaseRequest, web.Response, float], None] = (
+        lambda request, response, elapsed_s: None
+    ),
+) -> web.ServerRunner:
+    """Start to serve callers; every response is shown to ``observe``.
 
     Raises:
         OSError: The address cannot be bound.
     """
 
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
-        return await handle(entry, request)
+        started_s = entry.clock.monotonic_s()
+        response = await handle(entry, request)
+        observe(request, response, entry.clock.monotonic_s() - started_s)
+        return response
 
     runner = web.ServerRunner(
         web.Server(serve, handler_cancellation=True, access_log=None)
--- a/agaterelay/tasks/operators/moves.py
+++ b/agaterelay/tasks/operators/moves.py
@@ -7,7 +7,7 @@
 
 from agaterelay.core.manifest import plain
 from agaterelay.core.model import Snapshot
-from agaterelay.ports import PlatformError
+from agaterelay.ports import NotCommittedError, PlatformError
 from agaterelay.tasks.committer import commit_take_back
 from agaterelay.tasks.mover import describe_moves
 from agaterelay.tasks.operators.requests import Operators, key_is_of, key_of, refuse
@@ -37,6 +37,8 @@
     reason = "taken back by an operator"
     try:
         record = await commit_take_back(operators.committer, name, reason, change_id)
+    except NotCommittedError as error:
+        return refuse(503, "platform", f"the move was not taken back: {error}")
     except PlatformError as error:
         message = f"it is not known whether the move was taken back: {error}"
         return refuse(503, "platform", message)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -233,7 +233,13 @@
 
 
 def is_up(host: HostProcesses) -> bool:
-    """Return whether a host's node answers operators."""
+    """Return whether a host's node answers operators.
+
+    Raises:
+        ChildProcessError: The node has ended.
+    """
+    if host.node is not None and host.node.poll() is not None:
+        raise ChildProcessError(f"{host.ip} ended with status {host.node.poll()}")
     return fetch(f"http://{host.operators}/v1/node") is not None
 
 
