--- a/agaterelay/tasks/calls.py
+++ b/agaterelay/tasks/calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from aiohttp import web
 
 from agaterelay.adapters.outcomes import (
@@ -223,15 +225,24 @@
     )
 
 
-async def start_calls_server(entry: Entry, address: str) -> web.ServerRunner:
-    """Start to serve callers.
+async def start_calls_server(
+    entry: Entry,
+    address: str,
+    observe: Callable[[web.BaseRequest, web.Response, float], None] = (
+        lambda request, response, elapsed_s: None
+    ),
+) -> web.ServerRunner:
+    """Start to serve callers; every response is shown to ``observe``.
 
     Raises:
         OSError: The address cannot be bound.
     """
 
     async def serve(request: web.BaseRequest) -> web.StreamResponse:
-        return await handle(entry, request)
+        started_s = entry.clock.monotonic_s()
+        response = await handle(entry, request)
+        observe(request, response, entry.clock.monotonic_s() - started_s)
+        return response
 
     runner = web.ServerRunner(
         web.Server(serve, handler_cancellation=True, access_log=None)
--- a/tests/scenarios/test_calls.py
+++ b/tests/scenarios/test_calls.py
@@ -19,6 +19,7 @@
     stop,
     wait_until,
 )
+from tests.scenarios.conftest import CALL_PERIOD_S
 
 scenarios("calls.feature")
 
@@ -73,6 +74,13 @@
         stop(process, signal.SIGKILL)
 
 
+@when(parsers.parse("callers that route by themselves send {kinds}"))
+def _direct_callers(site, kinds):
+    pairs = tuple(tuple(kind.split(" ")) for kind in kinds.split(" and "))
+    nodes = tuple(host.calls for host in site.running.hosts)
+    site.traffic = callers.start_traffic(nodes, pairs, CALL_PERIOD_S, direct=True)
+
+
 def fire_everywhere(site, key, at_once):
     """Fire one cue under a key through every running host; return the outcomes."""
     nodes = [host for host in site.running.hosts if host.node.poll() is None]
