--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Sequence
 from typing import Any
 
 import attrs
 
-from agaterelay.core.evidence import Evidence, Tally
+from agaterelay.core.evidence import (
+    BUCKET_COUNT,
+    Recent,
+    Report,
+    Tally,
+    Window,
+    Windows,
+)
+from agaterelay.core.floors import FloorAnswer
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
 from agaterelay.core.messages import (
     Brake,
@@ -38,6 +47,12 @@
     return value
 
 
+def _real(value: float) -> float:
+    if not 0 <= value < MAX_INTEGER:
+        raise ValueError(f"the number {value} is out of bounds")
+    return value
+
+
 def _text(value: str, most: int = MAX_NAME_LENGTH) -> str:
     if len(value) > most:
         raise ValueError(f"a text has {len(value)} letters, at most {most}")
@@ -134,7 +149,9 @@
     """Return the messages of brakes."""
     return [
         pb.Brake(
-            move=item.move, reason=item.reason, first_failure_ms=item.first_failure_ms
+            trial=item.trial,
+            reason=item.reason,
+            first_failure_ms=item.first_failure_ms,
         )
         for item in brakes
     ]
@@ -144,7 +161,7 @@
     """Return the brakes of messages."""
     return tuple(
         Brake(
-            _text(item.move),
+            _text(item.trial),
             _text(item.reason, MAX_TEXT_LENGTH),
             _number(item.first_failure_ms),
         )
@@ -222,31 +239,91 @@
     )
 
 
-def evidence_to_wire(evidence: Evidence) -> list[pb.RouteEvidence]:
-    """Return the messages of evidence."""
-    return [
-        pb.RouteEvidence(
-            route=route,
-            version=version,
-            calls=tally.calls,
-            failures=tally.failures,
-            latency_buckets=tally.latency_buckets,
-        )
-        for (route, version), tally in evidence.items()
-    ]
+def floor_to_wire(answer: FloorAnswer) -> pb.WitnessReply:
+    """Return the reply of a floor."""
+    reply = pb.WitnessReply(
+        floor=answer.witnessed,
+        settled=answer.settled,
+        own_floor=answer.own,
+        head_revision=answer.head_revision,
+    )
+    if answer.head_age_s is not None:
+        reply.head_age_ms = math.ceil(answer.head_age_s * 1000)
+    return reply
+
+
+def floor_from_wire(reply: pb.WitnessReply) -> FloorAnswer:
+    """Return the floor of a reply."""
+    has_age = reply.HasField("head_age_ms")
+    return FloorAnswer(
+        witnessed=reply.floor,
+        own=reply.own_floor,
+        settled=reply.settled,
+        head_revision=reply.head_revision,
+        head_age_s=reply.head_age_ms / 1000 if has_age else None,
+    )
 
 
-def evidence_from_wire(messages: Sequence[Any]) -> Evidence:
-    """Return the evidence of messages; tallies of another shape are left out."""
-    size = len(Tally().latency_buckets)
+def evidence_to_reply(report: EvidenceReport) -> pb.EvidenceReply:
+    """Return the reply of a report."""
+    seen = report.report
+    return pb.EvidenceReply(
+        routes=[
+            pb.RouteEvidence(
+                route=route,
+                version=version,
+                calls=tally.calls,
+                failures=tally.failures,
+                latency_buckets=tally.latency_buckets,
+                window=window,
+            )
+            for window, evidence in seen.windows.items()
+            for (route, version), tally in evidence.items()
+        ],
+        brakes=brakes_to_wire(report.brakes),
+        trial=seen.trial,
+        step=seen.step,
+        first_failure_ms=seen.first_failure_ms,
+        rate=seen.rate,
+        in_flight=seen.in_flight,
+        failing_s=seen.failing_s,
+        recent=[
+            pb.RecentCalls(
+                route=route,
+                calls=[calls for calls, _ in slots],
+                failures=[failures for _, failures in slots],
+            )
+            for route, slots in seen.recent.items()
+        ],
+    )
+
+
+def windows_from_wire(messages: Sequence[Any]) -> Windows:
+    """Return the windows of messages; tallies that make no sense are left out."""
+    windows: Windows = {window: {} for window in Window}
+    for item in _items(messages):
+        sane = len(item.latency_buckets) == BUCKET_COUNT
+        if sane and item.window in windows and item.failures <= item.calls:
+            windows[Window(item.window)][_text(item.route), _text(item.version)] = (
+                Tally(
+                    _number(item.calls),
+                    _number(item.failures),
+                    tuple(_number(count) for count in item.latency_buckets),
+                )
+            )
+    return windows
+
+
+def recent_from_wire(messages: Sequence[Any]) -> Recent:
+    """Return the new version's last slots by route."""
     return {
-        (_text(item.route), _text(item.version)): Tally(
-            _number(item.calls),
-            _number(item.failures),
-            tuple(_number(count) for count in item.latency_buckets),
+        _text(item.route): tuple(
+            (_number(calls), _number(failures))
+            for calls, failures in zip(
+                _items(item.calls), _items(item.failures), strict=False
+            )
         )
         for item in _items(messages)
-        if len(item.latency_buckets) == size
     }
 
 
@@ -256,8 +333,17 @@
     Raises:
         ValueError: A part of the message is out of bounds.
     """
-    evidence = evidence_from_wire(message.routes)
-    return EvidenceReport(evidence, brakes_from_wire(message.brakes))
+    report = Report(
+        trial=_text(message.trial),
+        step=_number(message.step),
+        windows=windows_from_wire(message.routes),
+        first_failure_ms=_number(message.first_failure_ms),
+        rate=_real(message.rate),
+        in_flight=_real(message.in_flight),
+        failing_s=_real(message.failing_s),
+        recent=recent_from_wire(message.recent),
+    )
+    return EvidenceReport(report, brakes_from_wire(message.brakes))
 
 
 def probe_from_wire(message: pb.ProbeForRequest) -> str:
--- a/agaterelay/client.py
+++ b/agaterelay/client.py
@@ -91,8 +91,8 @@
         self._timeout_s = timeout_s
         self._draw = draw or random.Random()
         self._tokens = RetryTokens()
-        self._direct = direct
         self._avoid_until_s: dict[str, float] = {}
+        self._direct = direct
         self._session: aiohttp.ClientSession | None = None
         self._entry: Entry | None = None
         self._routes_s = 0.0
--- a/agaterelay/core/messages.py
+++ b/agaterelay/core/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from agaterelay.core.evidence import Evidence
+from agaterelay.core.evidence import Report
 from agaterelay.core.membership import Member
 from agaterelay.core.model import Head
 from agaterelay.core.timeline import Event, Stamp
@@ -12,12 +12,17 @@
 
 @attrs.frozen
 class Brake:
-    """A move whose new version a node sends no more work."""
+    """A trial of a move whose new version a node sends no more work."""
 
-    move: str
+    trial: str
     reason: str
     first_failure_ms: int
 
+    @property
+    def move(self) -> str:
+        """The move's name."""
+        return self.trial.partition(":")[0]
+
 
 @attrs.frozen
 class Exchange:
@@ -60,9 +65,9 @@
 
 @attrs.frozen
 class EvidenceReport:
-    """What one node saw of a move."""
+    """What one node saw of a trial, and the brakes it holds on it."""
 
-    evidence: Evidence
+    report: Report
     brakes: tuple[Brake, ...] = ()
 
 
@@ -75,7 +80,10 @@
 
 @attrs.frozen
 class NodeStatus:
-    """What one node says of itself; times are in milliseconds since 1970."""
+    """What one node says of itself; times are in milliseconds since 1970.
+
+    A node whose ``known_revision`` is above its ``active_revision`` is behind.
+    """
 
     host: str
     zone: str
@@ -84,3 +92,4 @@
     platform_up: bool
     stopping: bool
     activated_ms: int
+    known_revision: int = 0
--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -32,9 +32,18 @@
 from agaterelay.events import EventKind
 from agaterelay.ports import Clock, Objects, Peers, Table
 from agaterelay.tasks.board import Board, Seen, World
+from agaterelay.tasks.brakes import (
+    Braker,
+    run_brakes,
+    run_inquiries,
+    run_spread,
+    take_brakes,
+)
 from agaterelay.tasks.calls import start_calls_server
 from agaterelay.tasks.committer import Committer
 from agaterelay.tasks.entry import Entry
+from agaterelay.tasks.fetcher import serve_fetch
+from agaterelay.tasks.gather import Gatherer, gather_view, serve_evidence
 from agaterelay.tasks.gossip import (
     Gossip,
     serve_exchange,
@@ -43,17 +52,11 @@
 from agaterelay.tasks.keeper import (
     Keeper,
     post,
+    run_activation,
     run_keeper,
-    serve_fetch,
     serve_witness,
 )
-from agaterelay.tasks.mover import (
-    Mover,
-    run_brakes,
-    run_mover,
-    serve_evidence,
-    take_brakes,
-)
+from agaterelay.tasks.mover import Mover, run_mover
 from agaterelay.tasks.observe import make_observer, read_node
 from agaterelay.tasks.operators import (
     Operators,
@@ -65,12 +68,14 @@
 from agaterelay.tasks.probe import (
     Prober,
     leave,
+    probe_once,
     run_news,
     run_probes,
     serve_probe_for,
 )
-from agaterelay.tasks.reader import run_reader
+from agaterelay.tasks.reader import Reader, run_reader
 from agaterelay.tasks.registry import Registry, run_registry
+from agaterelay.tasks.tallies import Tallies
 from agaterelay.tasks.upstreams import Upstreams, run_upstreams
 
 PEER_TIMEOUT_S = 1.0
@@ -100,6 +105,7 @@
     world: World
     board: Board
     keeper: Keeper
+    reader: Reader
     gossip: Gossip
     prober: Prober
     upstreams: Upstreams
@@ -136,28 +142,37 @@
     keeper = Keeper(world, board)
     committer = Committer(world, board, keeper)
     window = KeyWindow(0)
+    tallies = Tallies()
+    braker = Braker(world, board, tallies)
     gossip = Gossip(
         world,
         board,
         keeper,
-        on_brakes=lambda brakes: take_brakes(board, world.record, brakes),
+        on_brakes=lambda brakes: take_brakes(braker, brakes),
         on_incarnation=lambda number: setattr(window, "incarnation", number),
     )
     upstreams = Upstreams(world, lambda infos: set_upstreams(gossip, infos))
-    owner = Owner(world, board, window, ports.session, upstreams.slots)
-    mover = Mover(world, board, owner, committer)
+    owner = Owner(world, board, window, ports.session, upstreams.slots, tallies=tallies)
+    mover = Mover(world, board, Gatherer(world, board, tallies), braker, committer)
     metrics = Metrics(lambda: read_node(board, owner))
     return Node(
         world=world,
         board=board,
         keeper=keeper,
+        reader=Reader(world, board, keeper, clock.monotonic_s()),
         gossip=gossip,
         prober=Prober(gossip),
         upstreams=upstreams,
         owner=owner,
-        entry=Entry(world.clock, board, owner, ports.session),
+        entry=Entry(
+            world.clock,
+            board,
+            owner,
+            ports.session,
+            on_brakes=lambda brakes: take_brakes(braker, brakes),
+        ),
         mover=mover,
-        operators=Operators(world, board, upstreams, committer, metrics),
+        operators=Operators(world, board, upstreams, committer, metrics, mover),
     )
 
 
@@ -173,9 +188,11 @@
         exchange=lambda exchange: serve_exchange(node.gossip, exchange),
         probe_for=lambda host: serve_probe_for(node.gossip, host),
         notify=take_notify,
-        fetch=lambda digests: serve_fetch(node.keeper, digests),
+        fetch=lambda digests: serve_fetch(
+            node.keeper.bodies, digests, node.world.clock.monotonic_s()
+        ),
         witness=lambda host, revision: serve_witness(node.keeper, host, revision),
-        evidence=lambda move: serve_evidence(node.mover, move),
+        evidence=lambda trial: serve_evidence(node.mover.gatherer, trial),
         events=lambda query: own_events(node.world, query),
         status=lambda: own_status(node.board),
     )
@@ -261,13 +278,21 @@
 def _start_tasks(node: Node) -> list[asyncio.Task[None]]:
     starts: dict[str, Any] = {
         "keeper": lambda: run_keeper(node.keeper),
-        "reader": lambda: run_reader(node.world, node.board, node.keeper),
+        "activation": lambda: run_activation(node.keeper),
+        "reader": lambda: run_reader(node.reader),
         "registry": lambda: run_registry(Registry(node.gossip)),
         "probes": lambda: run_probes(node.prober),
         "news": lambda: run_news(node.prober),
         "upstreams": lambda: run_upstreams(node.upstreams),
         "health": lambda: tidy_health(node),
-        "brakes": lambda: run_brakes(node.mover),
+        "brakes": lambda: run_brakes(node.mover.braker),
+        "inquiries": lambda: run_inquiries(
+            node.mover.braker,
+            lambda progress: gather_view(node.mover.gatherer, progress),
+        ),
+        "spread": lambda: run_spread(
+            node.mover.braker, lambda host: probe_once(node.gossip, host)
+        ),
         "mover": lambda: run_mover(node.mover),
     }
     return [
--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import aiohttp
 import attrs
@@ -19,11 +20,13 @@
     send_once,
 )
 from agaterelay.adapters.outcomes import (
+    BRAKES_HEADER,
     DEADLINE_HEADER,
     HOP_HEADER,
     IDEMPOTENT_HEADER,
     KEY_HEADER,
     LOAD_HEADER,
+    OUTCOME_HEADER,
     PRIORITY_HEADER,
     REQUEST_ID_HEADER,
     RETRIES_HEADER,
@@ -32,6 +35,7 @@
     VERSION_HEADER,
     outcome_of,
 )
+from agaterelay.core.brake import decode_brakes
 from agaterelay.core.health import (
     Health,
     load_of,
@@ -41,6 +45,7 @@
 )
 from agaterelay.core.keys import Key, mint_key, parse_key
 from agaterelay.core.membership import Member
+from agaterelay.core.messages import Brake
 from agaterelay.core.model import Route, Snapshot
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.retry import (
@@ -63,9 +68,11 @@
     targets_of,
     version_shares,
 )
+from agaterelay.events import EventKind
 from agaterelay.ports import Clock
-from agaterelay.tasks.board import Board
+from agaterelay.tasks.board import Board, World
 from agaterelay.tasks.owner import Call, Owner, run_call
+from agaterelay.tasks.tallies import note_forwarded
 
 MAX_KEYS_AT_ONCE = 64
 
@@ -101,8 +108,7 @@
     health: Health = attrs.field(factory=Health)
     index: TargetIndex = attrs.field(factory=TargetIndex)
     tokens: RetryTokens = attrs.field(factory=RetryTokens)
-    events: int = 0
-    events_second: int = 0
+    on_brakes: Callable[[tuple[Brake, ...]], None] = lambda brakes: None
 
 
 async def handle_request(entry: Entry, request: Request) -> Outcome:
@@ -174,7 +180,7 @@
         return Unknown("the node that knew this key was replaced", sent=False)
     budget = parse_retries(request.retries_left)
     earn(entry.tokens)
-    for version in version_shares(snapshot, route.service):
+    for version in _versions(entry, snapshot, route.service):
         call = _call_of(route, request, version, deadline_s, budget, key)
         for target in targets_of(entry.board.members, route.service, version):
             if target.host == key.host:
@@ -237,13 +243,7 @@
 def _choose(
     entry: Entry, snapshot: Snapshot, route: Route, tried: set[str]
 ) -> Target | None:
-    shares = version_shares(snapshot, route.service)
-    for progress in snapshot.progress.values():
-        braked = progress.name in entry.board.brakes
-        if progress.service == route.service and braked:
-            shares = {progress.from_version: 1}
-    version = choose_version(shares, entry.draw)
-    for name in [version, *(item for item in shares if item != version)]:
+    for name in _versions(entry, snapshot, route.service):
         targets = [
             target
             for target in indexed_targets(
@@ -272,6 +272,13 @@
     return None
 
 
+def _versions(entry: Entry, snapshot: Snapshot, service: str) -> list[str]:
+    """Return a service's versions in the order to try them: one drawn by its share."""
+    shares = version_shares(snapshot, service, entry.board.brakes)
+    drawn = choose_version(shares, entry.draw)
+    return [drawn, *(version for version in shares if version != drawn)]
+
+
 def _load(entry: Entry, target: Target) -> float:
     in_flight = entry.in_flight.get(target.upstream.address, 0)
     now_s = entry.clock.monotonic_s()
@@ -293,6 +300,8 @@
         now_s = entry.clock.monotonic_s()
         latency_ms = (now_s - started_s) * 1000
         observe(entry.health, target, outcome, latency_ms, now_s)
+        if not isinstance(outcome, Answered) and entry.owner is not None:
+            _note_try(entry.owner.world, call, target, outcome, latency_ms)
         return outcome
     finally:
         entry.in_flight[address] -= 1
@@ -300,6 +309,23 @@
             del entry.in_flight[address]
 
 
+def _note_try(
+    world: World, call: Call, target: Target, outcome: Outcome, latency_ms: float
+) -> None:
+    """Record a try that ended without an answer; the time line explains calls by it."""
+    world.record(
+        EventKind.CALL_TRY_ENDED,
+        request_id=call.request_id,
+        route=call.route,
+        owner=target.host,
+        upstream=target.upstream.address,
+        version=call.version,
+        outcome=type(outcome).__name__,
+        reason=outcome.reason,
+        elapsed_ms=round(latency_ms, 1),
+    )
+
+
 def hop_headers(call: Call, left_ms: int) -> list[tuple[str, str]]:
     """Return the headers of a call on its way to the owner of an upstream."""
     headers = [
@@ -340,7 +366,28 @@
         return _not_sent(call, "the upstream's node cannot be reached"), None
     except AnswerLostError as error:
         return Unknown(f"the answer was lost: {error}"), None
-    return outcome_of(answer, call.request_id), answer
+    outcome = outcome_of(answer, call.request_id)
+    _note_told(entry, call, answer, outcome)
+    return outcome, answer
+
+
+def _note_told(entry: Entry, call: Call, answer: HttpAnswer, outcome: Outcome) -> None:
+    """Count what the upstream's node told of a call, and take its brakes."""
+    clock = entry.clock
+    told = OUTCOME_HEADER in answer.headers and call.version
+    if told and entry.owner is not None:
+        note_forwarded(
+            entry.owner.tallies,
+            entry.board.active,
+            call.service,
+            (call.route, call.version),
+            outcome,
+            clock.monotonic_s(),
+            int(clock.now().timestamp() * 1000),
+        )
+    brakes = decode_brakes(answer.headers.get(BRAKES_HEADER, ""))
+    if brakes:
+        entry.on_brakes(brakes)
 
 
 def _not_sent(call: Call, reason: str) -> Outcome:
--- a/agaterelay/tasks/owner.py
+++ b/agaterelay/tasks/owner.py
@@ -38,7 +38,6 @@
     note_work,
     release,
 )
-from agaterelay.core.evidence import Evidence, Tally, count_call
 from agaterelay.core.keys import (
     Claimed,
     InProgress,
@@ -51,9 +50,13 @@
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.retry import MAX_RETRIES, shortened_ms
 from agaterelay.tasks.board import Board, World
+from agaterelay.tasks.tallies import Tallies, note_ran
 
 NOT_RUN_HEADER = "Not-Run"
 NOT_RUN_STATUS = 503
+ABANDONED = "the call was abandoned"
+# The time by which the caller's clock may run out before this node's.
+ABANDON_MARGIN_S = 0.05
 # How often those who wait look for slots that came up without a call's end.
 QUEUE_CHECK_S = 0.05
 _HOP_BY_HOP = frozenset(
@@ -95,7 +98,7 @@
     window: KeyWindow
     session: aiohttp.ClientSession
     slots: Slots = attrs.field(factory=dict)
-    evidence: dict[str, Evidence] = attrs.field(factory=dict)
+    tallies: Tallies = attrs.field(factory=Tallies)
     in_flight: int = 0
     admission: Admission = attrs.field(
         default=attrs.Factory(lambda self: Admission(self.slots), takes_self=True)
@@ -181,14 +184,15 @@
     owner: Owner, call: Call, ticket: Ticket, slot: UpstreamSlots
 ) -> Outcome:
     started_s = owner.world.clock.monotonic_s()
+    outcome: Outcome = Unknown(ABANDONED)
     try:
         outcome = await send(owner, call, slot)
     finally:
         release(slot)
         elapsed_s = owner.world.clock.monotonic_s() - started_s
         note_work(owner.admission, ticket, elapsed_s)
+        note_evidence(owner, call, slot.info.address, outcome, elapsed_s * 1000)
         pump(owner)
-    note_evidence(owner, call, outcome, elapsed_s * 1000)
     return outcome
 
 
@@ -292,16 +296,25 @@
 
 
 def note_evidence(
-    owner: Owner, call: Call, outcome: Outcome, latency_ms: float
+    owner: Owner, call: Call, address: str, outcome: Outcome, latency_ms: float
 ) -> None:
-    """Count a call for the move that its service is under."""
-    snapshot = owner.board.active
-    if snapshot is None or isinstance(outcome, NotRun):
+    """Count a call for the move that its service is under.
+
+    A call that its caller abandoned before the deadline says nothing.
+    """
+    clock = owner.world.clock
+    now_s = clock.monotonic_s()
+    abandoned = isinstance(outcome, Unknown) and outcome.reason == ABANDONED
+    if abandoned and now_s < call.deadline_s - ABANDON_MARGIN_S:
         return
-    failed = not isinstance(outcome, Answered) or outcome.status >= 500
-    for progress in snapshot.progress.values():
-        if progress.service != call.service:
-            continue
-        evidence = owner.evidence.setdefault(progress.name, {})
-        key = (call.route, call.version)
-        evidence[key] = count_call(evidence.get(key, Tally()), failed, latency_ms)
+    note_ran(
+        owner.tallies,
+        owner.board.active,
+        call.service,
+        (call.route, call.version),
+        address,
+        outcome,
+        latency_ms,
+        now_s,
+        int(clock.now().timestamp() * 1000),
+    )
