--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -38,6 +38,7 @@
     period_s: float,
     seed: int = 1,
     timeout_s: float = 2.0,
+    direct: bool = False,
 ) -> Traffic:
     """Send calls of the given kinds, a new one each period, until stopped.
 
@@ -47,9 +48,10 @@
         period_s: The time between two calls.
         seed: The seed of the draw.
         timeout_s: How long a caller waits for one answer.
+        direct: Whether callers send straight to the owners of upstreams.
     """
     traffic = Traffic()
-    arguments = (traffic, nodes, kinds, period_s, seed, timeout_s)
+    arguments = (traffic, nodes, kinds, period_s, seed, timeout_s, direct)
     traffic.thread = threading.Thread(
         target=lambda: asyncio.run(_send(*arguments)), daemon=True
     )
@@ -70,9 +72,13 @@
     period_s: float,
     seed: int,
     timeout_s: float,
+    direct: bool,
 ) -> None:
     draw = random.Random(seed)
-    async with Caller(nodes, timeout_s) as caller, asyncio.TaskGroup() as group:
+    async with (
+        Caller(nodes, timeout_s, direct=direct) as caller,
+        asyncio.TaskGroup() as group,
+    ):
         while not traffic.stopping.is_set():
             method, path = draw.choice(kinds)
             request_id = str(uuid.UUID(int=draw.getrandbits(128), version=4))
--- a/tests/scenarios/calls.feature
+++ b/tests/scenarios/calls.feature
@@ -50,6 +50,21 @@
     Then some calls were answered
     And no call was lost, doubled, crossed or falsely refused
 
+  Scenario: Callers that route by themselves outlive nodes and upstreams
+    Given the availability zones bangkok-1, bangkok-2 with 2 hosts each
+    And slow upstreams of cue-desk v1 run on 4 hosts
+    And the document siamsong is in force
+    When callers that route by themselves send POST /cue-desk/fire and GET /cue-desk/script
+    And 1 seconds pass
+    And the node of host 2 is killed
+    And the upstream of host 3 is killed
+    And the node of host 4 loses the next 5 answers
+    And 2 seconds pass
+    And the node of host 2 is started
+    And 1 seconds pass
+    Then some calls were answered
+    And no call was lost, doubled, crossed or falsely refused
+
   Scenario: Three times as many calls come in as the upstreams can take
     Given the availability zones bangkok-1 with 2 hosts each
     And upstreams of panel-feed v1 with 2 slots and 100 ms of work run on 2 hosts
