Say for certain that a change was not made, where that is known

Cause: the committer tells a commit that certainly did not happen from one in doubt now; the command said 'not known' for both. Change: the node answers made=false, and apply says 'was not made' unless one try was in doubt; move show prints why a move is late. The scenario's step asks for the stronger statement.

--- a/agaterelay/cli/apply.py
+++ b/agaterelay/cli/apply.py
@@ -166,6 +166,7 @@
     """
     give_up_s = time.monotonic() + timeout_s
     change_id = body["change_id"]
+    in_doubt = False
     sent = False
     while True:
         try:
@@ -173,6 +174,7 @@
         except NodeUnreachableError as error:
             if not sent:
                 _check_reachable(node)
+            in_doubt = True
             answer, reason, code = None, error.message, Exit.NODE_UNREACHABLE
         sent = True
         if answer is not None:
@@ -180,17 +182,25 @@
                 return answer.body
             if answer.status != 503:
                 raise _refused(answer)
+            in_doubt = in_doubt or answer.body.get("made") is not False
             reason, code = answer.message, Exit.PLATFORM_UNREACHABLE
         if time.monotonic() > give_up_s:
-            message = (
-                f"{reason}\nit is not known whether change {change_id} was made; "
-                f"`agaterelay show change {change_id}` tells once the platform is back"
-            )
+            message = f"{reason}\n{_fate(change_id, in_doubt)}"
             raise CommandError(code, message, {"change_id": change_id})
         report_progress(f"asking again for change {change_id}: {reason}")
         time.sleep(ASK_AGAIN_S)
 
 
+def _fate(change_id: str, in_doubt: bool) -> str:
+    """Return what is known of a change that got no clear answer in time."""
+    if not in_doubt:
+        return f"change {change_id} was not made"
+    return (
+        f"it is not known whether change {change_id} was made; "
+        f"`agaterelay show change {change_id}` tells once the platform is back"
+    )
+
+
 def _check_reachable(node: str) -> None:
     """Fail at once where the node does not answer to anything.
 
--- a/agaterelay/cli/move.py
+++ b/agaterelay/cli/move.py
@@ -58,6 +58,8 @@
         f"share {share_of(move)}",
         f"  started {move['started_at'][:19]}, finish by {move['finish_by'][:19]}",
     ]
+    if move.get("late_reason"):
+        lines.append(f"  late: {move['late_reason']}")
     if move["finished_at"]:
         lines.append(f"  finished {move['finished_at'][:19]}")
     if move["reason"]:
--- a/agaterelay/tasks/operators/document.py
+++ b/agaterelay/tasks/operators/document.py
@@ -110,7 +110,7 @@
         decision = await commit_change(operators.committer, change, key)
     except NotCommittedError as error:
         message = f"the change was not made: {error}"
-        return refuse(503, "platform", message, change_id=change_id)
+        return refuse(503, "platform", message, change_id=change_id, made=False)
     except PlatformError as error:
         message = f"the platform does not answer: {error}"
         return refuse(503, "platform", message, change_id=change_id)
--- a/tests/scenarios/operators.feature
+++ b/tests/scenarios/operators.feature
@@ -25,7 +25,7 @@
   Scenario: The platform is out of reach, and answers get lost
     When the platform's table service is down
     And the cue-team applies cue-desk with "timeout_ms: 1500" as "timeout_ms: 1600"
-    Then it is told "is not known whether" and the exit status is PLATFORM_UNREACHABLE
+    Then it is told "was not made" and the exit status is PLATFORM_UNREACHABLE
     And nothing of the document changed
     When the platform is back
     And the platform loses the answer of the next write of its table service
