Split the wire's events into a module of their own

Change: wire_events.py (events and their queries); the bounds' checks are public. No behaviour changed.

--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -10,7 +10,7 @@
 import attrs
 import grpc
 
-from agaterelay.adapters import wire
+from agaterelay.adapters import wire, wire_events
 from agaterelay.core.floors import FloorAnswer
 from agaterelay.core.messages import (
     EventsReport,
@@ -188,8 +188,8 @@
 
     async def events(self, host: str, query: EventsQuery) -> EventsReport:
         """Ask a host for its newest events that a query asks for."""
-        request = wire.query_to_wire(query)
-        return await self._call(host, "Events", request, wire.events_from_wire)
+        request = wire_events.query_to_wire(query)
+        return await self._call(host, "Events", request, wire_events.events_from_wire)
 
     async def status(self, host: str) -> NodeStatus:
         """Ask a host which revision it serves."""
@@ -275,10 +275,10 @@
 
     async def Events(self, request, context):  # noqa: N802
         """Hand out events."""
-        query = await self._decode(wire.query_from_wire, request, context)
+        query = await self._decode(wire_events.query_from_wire, request, context)
         report = self._handlers.events(query)
         return pb.EventsReply(
-            events=[wire.event_to_wire(item) for item in report.events]
+            events=[wire_events.event_to_wire(item) for item in report.events]
         )
 
     async def Status(self, request, context):  # noqa: N802
--- a/agaterelay/adapters/wire.py
+++ b/agaterelay/adapters/wire.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections.abc import Sequence
 from typing import Any
@@ -21,14 +20,13 @@
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
 from agaterelay.core.messages import (
     Brake,
-    EventsReport,
     EvidenceReport,
     Exchange,
     NodeStatus,
     Notify,
 )
 from agaterelay.core.model import Head
-from agaterelay.core.timeline import Event, EventsQuery, Stamp
+from agaterelay.core.timeline import Stamp
 from agaterelay.proto import peer_pb2 as pb
 
 PROTOCOL = 1
@@ -36,12 +34,12 @@
 MAX_NAME_LENGTH = 255
 MAX_ITEMS = 10_000
 MAX_UPSTREAMS = 64
-MAX_FIELDS_BYTES = 64 << 10
 # Sums of a few such numbers still fit the protocol's 64-bit integers.
 MAX_INTEGER = 1 << 62
 
 
-def _number(value: int) -> int:
+def check_number(value: int) -> int:
+    """Return a number that fits; raise ValueError on any other."""
     if not 0 <= value < MAX_INTEGER:
         raise ValueError(f"the number {value} is out of bounds")
     return value
@@ -53,7 +51,8 @@
     return value
 
 
-def _text(value: str, most: int = MAX_NAME_LENGTH) -> str:
+def check_text(value: str, most: int = MAX_NAME_LENGTH) -> str:
+    """Return a printable text of bounded length; raise ValueError on any other."""
     if len(value) > most:
         raise ValueError(f"a text has {len(value)} letters, at most {most}")
     if not value.isprintable():
@@ -61,7 +60,8 @@
     return value
 
 
-def _items(values: Sequence[Any], most: int = MAX_ITEMS) -> Sequence[Any]:
+def check_items(values: Sequence[Any], most: int = MAX_ITEMS) -> Sequence[Any]:
+    """Return a list of bounded length; raise ValueError on any other."""
     if len(values) > most:
         raise ValueError(f"a list has {len(values)} items, at most {most}")
     return values
@@ -74,7 +74,7 @@
 
 def stamp_from_wire(message: pb.Stamp) -> Stamp:
     """Return the stamp of a message."""
-    return Stamp(_number(message.wall_us), _number(message.counter))
+    return Stamp(check_number(message.wall_us), check_number(message.counter))
 
 
 def head_to_wire(head: Head) -> pb.Revision:
@@ -84,7 +84,7 @@
 
 def head_from_wire(message: pb.Revision) -> Head:
     """Return the head of a message."""
-    return Head(_number(message.number), _text(message.digest))
+    return Head(check_number(message.number), check_text(message.digest))
 
 
 def member_to_wire(member: Member) -> pb.Member:
@@ -122,25 +122,25 @@
     if not message.host:
         raise ValueError("a member without its host")
     return Member(
-        host=_text(message.host),
-        zone=_text(message.zone),
-        incarnation=_number(message.incarnation),
-        sequence=_number(message.sequence),
+        host=check_text(message.host),
+        zone=check_text(message.zone),
+        incarnation=check_number(message.incarnation),
+        sequence=check_number(message.sequence),
         state=MemberState(message.state),
-        region=_text(message.region),
-        calls_address=_text(message.calls_address),
-        operators_address=_text(message.operators_address),
-        age_s=_number(message.age_s),
+        region=check_text(message.region),
+        calls_address=check_text(message.calls_address),
+        operators_address=check_text(message.operators_address),
+        age_s=check_number(message.age_s),
         upstreams=tuple(
             UpstreamInfo(
-                service=_text(item.service),
-                version=_text(item.version),
-                address=_text(item.address),
-                slots=_number(item.slots),
-                connections=_number(item.connections),
+                service=check_text(item.service),
+                version=check_text(item.version),
+                address=check_text(item.address),
+                slots=check_number(item.slots),
+                connections=check_number(item.connections),
                 draining=item.draining,
             )
-            for item in _items(message.upstreams, MAX_UPSTREAMS)
+            for item in check_items(message.upstreams, MAX_UPSTREAMS)
         ),
     )
 
@@ -161,11 +161,11 @@
     """Return the brakes of messages."""
     return tuple(
         Brake(
-            _text(item.trial),
-            _text(item.reason, MAX_TEXT_LENGTH),
-            _number(item.first_failure_ms),
+            check_text(item.trial),
+            check_text(item.reason, MAX_TEXT_LENGTH),
+            check_number(item.first_failure_ms),
         )
-        for item in _items(messages)
+        for item in check_items(messages)
     )
 
 
@@ -206,15 +206,15 @@
     is_request = isinstance(message, pb.ExchangeRequest)
     return Exchange(
         stamp=stamp_from_wire(message.stamp),
-        sender=_text(message.sender),
-        pair=(_number(message.incarnation), _number(message.sequence)),
+        sender=check_text(message.sender),
+        pair=(check_number(message.incarnation), check_number(message.sequence)),
         revision=head_from_wire(message.revision),
-        updates=tuple(member_from_wire(item) for item in _items(message.updates)),
+        updates=tuple(member_from_wire(item) for item in check_items(message.updates)),
         brakes=brakes_from_wire(message.brakes),
         want_entry=message.want_entry,
         want_all=is_request and message.want_all,
-        fingerprint=tuple(_items(message.fingerprint)) if is_request else (),
-        floor=0 if is_request else _number(message.floor),
+        fingerprint=tuple(check_items(message.fingerprint)) if is_request else (),
+        floor=0 if is_request else check_number(message.floor),
     )
 
 
@@ -233,8 +233,8 @@
     """Return the notification of a request."""
     return Notify(
         stamp=stamp_from_wire(message.stamp),
-        sender=_text(message.sender),
-        origin=_text(message.origin),
+        sender=check_text(message.sender),
+        origin=check_text(message.origin),
         revision=head_from_wire(message.revision),
     )
 
@@ -301,15 +301,15 @@
 def windows_from_wire(messages: Sequence[Any]) -> Windows:
     """Return the windows of messages; tallies that make no sense are left out."""
     windows: Windows = {window: {} for window in Window}
-    for item in _items(messages):
+    for item in check_items(messages):
         sane = len(item.latency_buckets) == BUCKET_COUNT
         if sane and item.window in windows and item.failures <= item.calls:
-            windows[Window(item.window)][_text(item.route), _text(item.version)] = (
-                Tally(
-                    _number(item.calls),
-                    _number(item.failures),
-                    tuple(_number(count) for count in item.latency_buckets),
-                )
+            windows[Window(item.window)][
+                check_text(item.route), check_text(item.version)
+            ] = Tally(
+                check_number(item.calls),
+                check_number(item.failures),
+                tuple(check_number(count) for count in item.latency_buckets),
             )
     return windows
 
@@ -317,13 +317,13 @@
 def recent_from_wire(messages: Sequence[Any]) -> Recent:
     """Return the new version's last slots by route."""
     return {
-        _text(item.route): tuple(
-            (_number(calls), _number(failures))
+        check_text(item.route): tuple(
+            (check_number(calls), check_number(failures))
             for calls, failures in zip(
-                _items(item.calls), _items(item.failures), strict=False
+                check_items(item.calls), check_items(item.failures), strict=False
             )
         )
-        for item in _items(messages)
+        for item in check_items(messages)
     }
 
 
@@ -334,10 +334,10 @@
         ValueError: A part of the message is out of bounds.
     """
     report = Report(
-        trial=_text(message.trial),
-        step=_number(message.step),
+        trial=check_text(message.trial),
+        step=check_number(message.step),
         windows=windows_from_wire(message.routes),
-        first_failure_ms=_number(message.first_failure_ms),
+        first_failure_ms=check_number(message.first_failure_ms),
         rate=_real(message.rate),
         in_flight=_real(message.in_flight),
         failing_s=_real(message.failing_s),
@@ -352,7 +352,7 @@
     Raises:
         ValueError: A part of the message is out of bounds.
     """
-    return _text(message.host)
+    return check_text(message.host)
 
 
 def digests_from_wire(message: pb.FetchRequest) -> tuple[str, ...]:
@@ -361,7 +361,7 @@
     Raises:
         ValueError: A part of the message is out of bounds.
     """
-    return tuple(_text(digest) for digest in _items(message.digests))
+    return tuple(check_text(digest) for digest in check_items(message.digests))
 
 
 def witness_from_wire(message: pb.WitnessRequest) -> tuple[str, int]:
@@ -370,77 +370,7 @@
     Raises:
         ValueError: A part of the message is out of bounds.
     """
-    return _text(message.host), _number(message.revision)
-
-
-def event_to_wire(event: Event) -> pb.Event:
-    """Return the message of an event."""
-    return pb.Event(
-        stamp=stamp_to_wire(event.stamp),
-        host=event.host,
-        number=event.number,
-        name=event.name,
-        fields_json=json.dumps(event.fields, default=str),
-    )
-
-
-def event_from_wire(message: pb.Event) -> Event:
-    """Return the event of a message.
-
-    Raises:
-        ValueError: A part of the message is out of bounds.
-    """
-    if len(message.fields_json) > MAX_FIELDS_BYTES:
-        raise ValueError("the fields of an event are too large")
-    try:
-        fields = json.loads(message.fields_json)
-    except RecursionError as error:
-        raise ValueError("the fields of an event are nested too deeply") from error
-    if not isinstance(fields, dict):
-        raise ValueError("the fields of an event are not an object")
-    return Event(
-        stamp=stamp_from_wire(message.stamp),
-        host=_text(message.host),
-        number=_number(message.number),
-        name=_text(message.name),
-        fields=fields,
-    )
-
-
-def events_from_wire(message: pb.EventsReply) -> EventsReport:
-    """Return the events of a reply.
-
-    Raises:
-        ValueError: A part of the message is out of bounds.
-    """
-    return EventsReport(tuple(event_from_wire(item) for item in _items(message.events)))
-
-
-def query_to_wire(query: EventsQuery) -> pb.EventsRequest:
-    """Return the request of a query for events."""
-    return pb.EventsRequest(
-        protocol=PROTOCOL,
-        after=stamp_to_wire(query.after),
-        most=query.most,
-        change=query.change,
-        revision=query.revision,
-        move=query.move,
-        request=query.request,
-        number=query.number,
-    )
-
-
-def query_from_wire(message: pb.EventsRequest) -> EventsQuery:
-    """Return the query of a request."""
-    return EventsQuery(
-        after=stamp_from_wire(message.after),
-        most=_number(message.most),
-        change=_text(message.change),
-        revision=_number(message.revision),
-        move=_text(message.move),
-        request=_text(message.request),
-        number=_number(message.number),
-    )
+    return check_text(message.host), check_number(message.revision)
 
 
 def status_to_wire(status: NodeStatus) -> pb.StatusReply:
--- a/tests/adapters/test_wire.py
+++ b/tests/adapters/test_wire.py
@@ -2,7 +2,7 @@
 from google.protobuf.message import DecodeError
 from hypothesis import example, given, settings, strategies as st
 
-from agaterelay.adapters import wire
+from agaterelay.adapters import wire, wire_events
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
 from agaterelay.core.messages import Brake, Exchange
 from agaterelay.core.model import Head
@@ -17,8 +17,8 @@
     (pb.FetchRequest, wire.digests_from_wire),
     (pb.WitnessRequest, wire.witness_from_wire),
     (pb.EvidenceReply, wire.report_from_wire),
-    (pb.EventsRequest, wire.query_from_wire),
-    (pb.EventsReply, wire.events_from_wire),
+    (pb.EventsRequest, wire_events.query_from_wire),
+    (pb.EventsReply, wire_events.events_from_wire),
     (pb.StatusReply, wire.status_from_wire),
 )
 names = st.text(st.characters(codec="ascii", categories=["L", "N"]), max_size=8)
@@ -81,7 +81,7 @@
 def test_fields_of_an_event_are_an_object_or_a_value_error(text):
     message = pb.Event(host="h", fields_json=text.encode("utf-8", "replace"))
     try:
-        event = wire.event_from_wire(message)
+        event = wire_events.event_from_wire(message)
     except ValueError:
         return
     assert isinstance(event.fields, dict)
@@ -106,6 +106,6 @@
 
 def test_events_and_queries_survive_the_wire():
     event = Event(Stamp(5, 1), "127.0.1.1:7001", 202, "revision_activated", {"r": 1})
-    assert wire.event_from_wire(wire.event_to_wire(event)) == event
+    assert wire_events.event_from_wire(wire_events.event_to_wire(event)) == event
     query = EventsQuery(Stamp(5, 1), 7, "change-1", 3, "cue-v2", "request", 202)
-    assert wire.query_from_wire(wire.query_to_wire(query)) == query
+    assert wire_events.query_from_wire(wire_events.query_to_wire(query)) == query
