--- a/agaterelay/node.py
+++ b/agaterelay/node.py
@@ -55,6 +55,7 @@
     serve_evidence,
     take_brakes,
 )
+from agaterelay.tasks.observe import make_observer, read_node
 from agaterelay.tasks.operators import (
     Operators,
     own_events,
@@ -147,7 +148,7 @@
     upstreams = Upstreams(world, lambda infos: set_upstreams(gossip, infos))
     owner = Owner(world, board, window, ports.session, upstreams.slots)
     mover = Mover(world, board, owner, committer)
-    metrics = Metrics(lambda: float(board.active.revision if board.active else 0))
+    metrics = Metrics(lambda: read_node(board, owner))
     return Node(
         world=world,
         board=board,
@@ -157,7 +158,7 @@
         prober=Prober(gossip),
         upstreams=upstreams,
         owner=owner,
-        entry=Entry(world, board, owner, ports.session),
+        entry=Entry(world.clock, board, owner, ports.session),
         mover=mover,
         operators=Operators(world, board, upstreams, committer, metrics),
     )
@@ -235,7 +236,9 @@
         settings.peers_address, peer_handlers(node), tls.server if tls else None
     )
     operators = await start_operators_server(node.operators, settings.operators_address)
-    calls = await start_calls_server(node.entry, settings.calls_address)
+    peers.count = node.operators.metrics.count_peer_message
+    observe = make_observer(node.world, node.board, node.operators.metrics)
+    calls = await start_calls_server(node.entry, settings.calls_address, observe)
     node.world.record(EventKind.NODE_STARTED, zone=settings.zone)
     tasks = _start_tasks(node)
     await stopping.wait()
--- a/agaterelay/tasks/operators/document.py
+++ b/agaterelay/tasks/operators/document.py
@@ -21,6 +21,7 @@
 from agaterelay.core.parse import parse_document
 from agaterelay.events import EventKind
 from agaterelay.ports import NotCommittedError, PlatformError
+from agaterelay.tasks.board import Board
 from agaterelay.tasks.committer import commit_change
 from agaterelay.tasks.operators.requests import (
     BadRequestError,
@@ -43,6 +44,9 @@
 async def show_document(operators: Operators, _: web.Request) -> web.Response:
     """Return the document in force, section by section."""
     snapshot = operators.board.active
+    if snapshot is None and not _is_unwritten(operators.board):
+        message = "this node does not know the document yet"
+        return refuse(503, "not-ready", message)
     if snapshot is None:
         return web.json_response(
             {"revision": 0, "known_since": 0, "committed_ms": 0, "sections": []}
@@ -69,6 +73,11 @@
     )
 
 
+def _is_unwritten(board: Board) -> bool:
+    """Return whether the node may say that nobody wrote a document yet."""
+    return board.floor == 0 and board.held.revision == 0
+
+
 def _last_changed(manifest: Manifest, section: str) -> int:
     """Return the revision of a section's last change, 0 where it is forgotten."""
     return max(
