--- a/agaterelay/tasks/reader.py
+++ b/agaterelay/tasks/reader.py
@@ -25,7 +25,7 @@
 
 READERS_PER_ZONE = 2
 HEAD_ROW = "head"
-JOIN_WAIT_S = 2.0
+JOIN_WAIT_S = 3.0
 JOIN_POLL_S = 0.02
 SETTLE_RETRY_S = 0.4
 ASK_ALL_AFTER_S = 2.0
@@ -91,12 +91,12 @@
 
 
 async def wait_for_peers(reader: Reader) -> None:
-    """Wait until other hosts are known, so that few nodes take themselves for readers.
+    """Wait until this host has joined, so that few nodes take themselves for readers.
 
-    A node that knows of none after a while goes on alone.
+    A node that knows of no others after a while goes on alone.
     """
-    clock = reader.world.clock
-    while len(reader.board.members) < 2:
+    clock, board = reader.world.clock, reader.board
+    while not board.own.incarnation or len(board.members) < 2:
         if clock.monotonic_s() - reader.started_s >= JOIN_WAIT_S:
             return
         await clock.sleep(JOIN_POLL_S * random.uniform(0.5, 1.5))
