--- /dev/null
+++ b/tests/core/test_spread.py
@@ -0,0 +1,66 @@
+from hypothesis import given, settings
+from hypothesis.strategies import floats, integers, lists, sets, tuples
+
+from agaterelay.core.model import Head
+from agaterelay.core.news import (
+    MAX_CANDIDATES,
+    MAX_REFUSED,
+    MAX_SOURCES,
+    Candidate,
+    News,
+    hear,
+    refuse,
+)
+from agaterelay.core.spread import FANOUT, Budget, children, spend
+
+HOSTS = sets(integers(0, 999).map(str), min_size=1, max_size=120)
+
+
+@settings(derandomize=True)
+@given(members=HOSTS, origin=integers(0, 999).map(str))
+def test_the_tree_reaches_each_host_once_with_bounded_fanout(members, origin):
+    told = [origin]
+    for host in told:
+        below = children(members, origin, host)
+        assert len(below) <= FANOUT
+        told.extend(below)
+    assert sorted(told) == sorted(members | {origin})
+
+
+@settings(derandomize=True)
+@given(steps=lists(tuples(integers(1, 5000), floats(0, 3)), max_size=40))
+def test_no_more_bytes_are_handed_out_than_the_rate_allows(steps):
+    budget = Budget(1000.0, 5000.0, 5000.0, 0.0)
+    now_s = 0.0
+    spent = 0
+    for size_bytes, pause_s in steps:
+        now_s += pause_s
+        budget, wait_s = spend(budget, size_bytes, now_s)
+        if not wait_s:
+            spent += size_bytes
+        assert spent <= 5000 + 1000 * now_s + 1e-6
+
+
+@settings(derandomize=True)
+@given(
+    heard=lists(tuples(integers(1, 30), integers(0, 20)), max_size=60),
+    held=integers(0, 10),
+)
+def test_news_are_bounded_and_the_newest_goes_first(heard, held):
+    news = News()
+    for revision, source in heard:
+        head = Head(revision, f"digest-{revision}")
+        news = hear(news, Candidate(head, (f"host-{source}",)), held)
+    revisions = [item.head.revision for item in news.candidates]
+    newer = sorted({revision for revision, _ in heard if revision > held})
+    assert revisions == newer[::-1][:MAX_CANDIDATES]
+    assert all(len(item.sources) <= MAX_SOURCES for item in news.candidates)
+
+
+def test_what_was_refused_is_not_tried_again_and_is_bounded():
+    news = News()
+    for revision in range(1, 200):
+        candidate = Candidate(Head(revision, f"digest-{revision}"))
+        news = refuse(hear(news, candidate, 0), candidate.head.digest)
+        assert hear(news, candidate, 0).candidates == ()
+    assert len(news.refused) == MAX_REFUSED
