--- a/agaterelay/adapters/outcomes.py
+++ b/agaterelay/adapters/outcomes.py
@@ -11,6 +11,7 @@
 REASON_HEADER = "Agaterelay-Reason"
 HOP_HEADER = "Agaterelay-Hop"
 LOAD_HEADER = "Agaterelay-Load"
+BRAKES_HEADER = "Agaterelay-Brakes"
 SENT_HEADER = "Agaterelay-Sent"
 ROUTE_HEADER = "Agaterelay-Route"
 SERVICE_HEADER = "Agaterelay-Service"
@@ -24,7 +25,7 @@
 RETRY_AFTER_HEADER = "Retry-After"
 _NODE_HEADERS = frozenset(
     {"content-length", "date", "server", "connection", "request-id",
-     OUTCOME_HEADER.lower(), LOAD_HEADER.lower()}
+     OUTCOME_HEADER.lower(), LOAD_HEADER.lower(), BRAKES_HEADER.lower()}
 )  # fmt: skip
 
 
--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -35,6 +35,8 @@
     ("grpc.max_reconnect_backoff_ms", 2000),
     ("grpc.so_reuseport", 0),
     ("grpc.enable_http_proxy", 0),
+    # Another channel to the same host does not inherit an older one's backoff.
+    ("grpc.use_local_subchannel_pool", 1),
 )
 
 # Status codes that a running peer itself answers with.
@@ -79,6 +81,11 @@
         self._links: OrderedDict[str, _Link] = OrderedDict()
         self._closing: set[asyncio.Task[None]] = set()
 
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """The hosts with an open channel, the longest idle first."""
+        return tuple(self._links)
+
     def _open_channel(self, host: str) -> grpc.aio.Channel:
         if self._credentials is None:
             return grpc.aio.insecure_channel(host, options=_OPTIONS)
@@ -174,9 +181,9 @@
         )
         return wire.floor_from_wire(await self._call(host, "Witness", request))
 
-    async def evidence(self, host: str, move: str) -> EvidenceReport:
-        """Ask a host what it saw of a move."""
-        request = pb.EvidenceRequest(protocol=wire.PROTOCOL, move=move)
+    async def evidence(self, host: str, trial: str) -> EvidenceReport:
+        """Ask a host what it saw of a trial of a move."""
+        request = pb.EvidenceRequest(protocol=wire.PROTOCOL, trial=trial)
         return await self._call(host, "Evidence", request, wire.report_from_wire)
 
     async def events(self, host: str, query: EventsQuery) -> EventsReport:
@@ -264,11 +271,7 @@
     async def Evidence(self, request, context):  # noqa: N802
         """Tell what this node saw of a move."""
         await self._check(request, context)
-        report = self._handlers.evidence(request.move)
-        return pb.EvidenceReply(
-            routes=wire.evidence_to_wire(report.evidence),
-            brakes=wire.brakes_to_wire(report.brakes),
-        )
+        return wire.evidence_to_reply(self._handlers.evidence(request.trial))
 
     async def Events(self, request, context):  # noqa: N802
         """Hand out events."""
--- a/agaterelay/tasks/operators/requests.py
+++ b/agaterelay/tasks/operators/requests.py
@@ -13,6 +13,7 @@
 from agaterelay.core.snapshot import ADMIN_OWNER
 from agaterelay.tasks.board import Board, World
 from agaterelay.tasks.committer import Committer
+from agaterelay.tasks.mover import Mover
 from agaterelay.tasks.upstreams import Upstreams
 
 
@@ -25,6 +26,7 @@
     upstreams: Upstreams
     committer: Committer
     metrics: Metrics
+    mover: Mover
     drained: set[str] = attrs.field(factory=set)
 
 
--- a/agaterelay/tasks/reader.py
+++ b/agaterelay/tasks/reader.py
@@ -27,6 +27,7 @@
 HEAD_ROW = "head"
 JOIN_WAIT_S = 3.0
 JOIN_POLL_S = 0.02
+VIEW_WAIT_S = 0.5
 SETTLE_RETRY_S = 0.4
 ASK_ALL_AFTER_S = 2.0
 
@@ -93,15 +94,22 @@
 async def wait_for_peers(reader: Reader) -> None:
     """Wait until this host has joined, so that few nodes take themselves for readers.
 
-    A node that knows of no others after a while goes on alone.
+    In a herd every host takes itself for a reader until it has heard of the others, so
+    one that does waits a little longer. A node that knows of none after a while goes
+    on alone.
     """
-    clock, board = reader.world.clock, reader.board
-    while not board.own.incarnation or len(board.members) < 2:
-        if clock.monotonic_s() - reader.started_s >= JOIN_WAIT_S:
-            return
+    clock = reader.world.clock
+    while not _knows_its_turn(reader, clock.monotonic_s() - reader.started_s):
         await clock.sleep(JOIN_POLL_S * random.uniform(0.5, 1.5))
 
 
+def _knows_its_turn(reader: Reader, age_s: float) -> bool:
+    if not reader.board.own.incarnation or len(reader.board.members) < 2:
+        return age_s >= JOIN_WAIT_S
+    takes_itself = is_reader(reader.board, reader.world.settings.zone)
+    return not takes_itself or age_s >= VIEW_WAIT_S
+
+
 async def settle(reader: Reader) -> None:
     """Try once to find the floor: from the platform, from its readers, from peers."""
     world, board, keeper = reader.world, reader.board, reader.keeper
