--- a/bench/moves.py
+++ b/bench/moves.py
@@ -13,7 +13,6 @@
 import argparse
 import math
 import random
-import statistics
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 from typing import Any
@@ -44,6 +43,7 @@
 from agaterelay.tasks.tallies import WarmUp, is_warm
 from bench.measure import write
 from bench.move_kinds import BAD, BASE_RATE, GOOD, NEW, OLD, Fault, Moment
+from bench.move_report import summarize, table
 
 TICK_S = 0.25
 STEP_PERIOD_S = 3.0
@@ -351,27 +351,6 @@
     return rows
 
 
-def summarize(
-    size: str, level: str, kind: str, policy: str, results: list[dict[str, Any]]
-) -> dict[str, Any]:
-    harmed = sorted(item["harmed"] for item in results)
-    return {
-        "size": size,
-        "traffic": level,
-        "kind": kind,
-        "good": kind in GOOD,
-        "policy": policy,
-        "runs": len(results),
-        "taken_back": sum(item["state"] == "reverted" for item in results),
-        "in_time": sum(item["in_time"] for item in results),
-        "harmed_median": statistics.median(harmed),
-        "harmed_most": harmed[-1],
-        "stop_s_median": statistics.median(item["stop_s"] for item in results),
-        "finished_s_median": statistics.median(item["finished_s"] for item in results),
-        "reasons": sorted({item["reason"] for item in results if item["reason"]})[:2],
-    }
-
-
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=SEEDS)
@@ -386,27 +365,5 @@
         write("moves", {"seeds": arguments.seeds, "rows": rows})
 
 
-def table(rows: list[dict[str, Any]]) -> str:
-    """Return the rows as one Markdown table, the policies side by side."""
-    names = list(POLICIES)
-    lines = [
-        "| size | traffic | kind | " + " | ".join(names) + " |",
-        "| --- | --- | --- |" + " --- |" * len(names),
-    ]
-    cells: dict[tuple[str, str, str], list[str]] = {}
-    for row in rows:
-        if row["good"]:
-            text = f"{row['in_time']}/{row['runs']} in time, "
-            text += f"{row['taken_back']} taken back"
-        else:
-            text = f"{row['taken_back']}/{row['runs']} taken back, "
-            text += f"{row['harmed_median']:g} ({row['harmed_most']}) harmed, "
-            text += f"{row['stop_s_median']:.1f} s"
-        cells.setdefault((row["size"], row["traffic"], row["kind"]), []).append(text)
-    lines += [f"| {' | '.join(key)} | {' | '.join(texts)} |"
-              for key, texts in cells.items()]  # fmt: skip
-    return "\n".join(lines)
-
-
 if __name__ == "__main__":
     main()
