Split the hop and the evidence's messages out; merge what stood twice; slow the joiners' retries

Change: tasks/hop.py, adapters/wire_evidence.py, the step in conftest.py, plain_finding in core/manifest.py; a joiner's retries double, within the same 2 s. First try slept past the 2 s and failed test_a_stale_row_and_a_platform_outage_only_cost_time; it now stops at the time.

--- a/agaterelay/adapters/peers.py
+++ b/agaterelay/adapters/peers.py
@@ -10,7 +10,7 @@
 import attrs
 import grpc
 
-from agaterelay.adapters import wire, wire_events
+from agaterelay.adapters import wire, wire_events, wire_evidence
 from agaterelay.core.floors import FloorAnswer
 from agaterelay.core.messages import (
     EventsReport,
@@ -184,7 +184,9 @@
     async def evidence(self, host: str, trial: str) -> EvidenceReport:
         """Ask a host what it saw of a trial of a move."""
         request = pb.EvidenceRequest(protocol=wire.PROTOCOL, trial=trial)
-        return await self._call(host, "Evidence", request, wire.report_from_wire)
+        return await self._call(
+            host, "Evidence", request, wire_evidence.report_from_wire
+        )
 
     async def events(self, host: str, query: EventsQuery) -> EventsReport:
         """Ask a host for its newest events that a query asks for."""
@@ -271,7 +273,7 @@
     async def Evidence(self, request, context):  # noqa: N802
         """Tell what this node saw of a move."""
         await self._check(request, context)
-        return wire.evidence_to_reply(self._handlers.evidence(request.trial))
+        return wire_evidence.evidence_to_reply(self._handlers.evidence(request.trial))
 
     async def Events(self, request, context):  # noqa: N802
         """Hand out events."""
--- a/agaterelay/cli/outcome.py
+++ b/agaterelay/cli/outcome.py
@@ -8,6 +8,7 @@
 from enum import IntEnum
 from typing import Any
 
+from agaterelay.core.manifest import plain_finding
 from agaterelay.core.model import Finding
 
 
@@ -49,17 +50,6 @@
         super().__init__(Exit.FINDINGS, message, details)
 
 
-def plain_finding(finding: Finding) -> dict[str, Any]:
-    """Return a finding as JSON can hold it."""
-    return {
-        "filename": finding.place.filename,
-        "line": finding.place.line,
-        "column": finding.place.column,
-        "section": finding.section,
-        "message": finding.message,
-    }
-
-
 def show(value: Any, as_json: bool, lines: Iterable[str]) -> None:
     """Print a result, as JSON or as lines of text."""
     if as_json:
--- a/agaterelay/core/manifest.py
+++ b/agaterelay/core/manifest.py
@@ -99,3 +99,14 @@
     if attrs.has(type(value)):
         return _converter.unstructure(value)
     return value
+
+
+def plain_finding(finding: Finding) -> dict[str, Any]:
+    """Return a finding as JSON can hold it."""
+    return {
+        "filename": finding.place.filename,
+        "line": finding.place.line,
+        "column": finding.place.column,
+        "section": finding.section,
+        "message": finding.message,
+    }
--- a/agaterelay/tasks/entry.py
+++ b/agaterelay/tasks/entry.py
@@ -13,27 +13,11 @@
 import aiohttp
 import attrs
 
-from agaterelay.adapters.http import (
-    AnswerLostError,
-    HttpAnswer,
-    NotSentError,
-    send_once,
-)
+from agaterelay.adapters.http import HttpAnswer
 from agaterelay.adapters.outcomes import (
     BRAKES_HEADER,
-    DEADLINE_HEADER,
-    HOP_HEADER,
-    IDEMPOTENT_HEADER,
-    KEY_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
-    PRIORITY_HEADER,
-    REQUEST_ID_HEADER,
-    RETRIES_HEADER,
-    ROUTE_HEADER,
-    SERVICE_HEADER,
-    VERSION_HEADER,
-    outcome_of,
 )
 from agaterelay.core.brake import decode_brakes
 from agaterelay.core.health import (
@@ -55,7 +39,6 @@
     may_retry,
     parse_retries,
     retries_to_carry,
-    shortened_ms,
     spend,
 )
 from agaterelay.core.routing import (
@@ -71,6 +54,7 @@
 from agaterelay.events import EventKind
 from agaterelay.ports import Clock
 from agaterelay.tasks.board import Board, World
+from agaterelay.tasks.hop import forward
 from agaterelay.tasks.owner import Call, Owner, run_call
 from agaterelay.tasks.tallies import note_forwarded
 
@@ -326,48 +310,12 @@
     )
 
 
-def hop_headers(call: Call, left_ms: int) -> list[tuple[str, str]]:
-    """Return the headers of a call on its way to the owner of an upstream."""
-    headers = [
-        *call.headers,
-        (HOP_HEADER, "1"),
-        (ROUTE_HEADER, call.route),
-        (SERVICE_HEADER, call.service),
-        (VERSION_HEADER, call.version),
-        (PRIORITY_HEADER, call.priority.value),
-        (IDEMPOTENT_HEADER, "1" if call.idempotent else "0"),
-        (RETRIES_HEADER, str(call.retries_left)),
-        (DEADLINE_HEADER, str(left_ms)),
-        (REQUEST_ID_HEADER, call.request_id),
-    ]
-    if call.key is not None:
-        headers.append((KEY_HEADER, str(call.key)))
-    return headers
-
-
 async def _forward(
     entry: Entry, call: Call, calls_address: str
 ) -> tuple[Outcome, HttpAnswer | None]:
-    now_s = entry.clock.monotonic_s()
-    left_ms = shortened_ms(call.deadline_s, now_s)
-    if left_ms == 0:
-        return _not_sent(call, "the deadline has passed"), None
-    try:
-        answer = await send_once(
-            entry.session,
-            call.method,
-            calls_address,
-            call.path,
-            call.body,
-            hop_headers(call, left_ms),
-            call.deadline_s - now_s,
-        )
-    except NotSentError:
-        return _not_sent(call, "the upstream's node cannot be reached"), None
-    except AnswerLostError as error:
-        return Unknown(f"the answer was lost: {error}"), None
-    outcome = outcome_of(answer, call.request_id)
-    _note_told(entry, call, answer, outcome)
+    outcome, answer = await forward(entry.session, entry.clock, call, calls_address)
+    if answer is not None:
+        _note_told(entry, call, answer, outcome)
     return outcome, answer
 
 
@@ -390,10 +338,6 @@
         entry.on_brakes(brakes)
 
 
-def _not_sent(call: Call, reason: str) -> Outcome:
-    return NotRun(reason) if call.key is None else Unknown(reason, sent=False)
-
-
 def _note_load(entry: Entry, target: Target, report: str) -> None:
     if not report.isdecimal() or len(report) > 6:
         return
--- a/agaterelay/tasks/operators/document.py
+++ b/agaterelay/tasks/operators/document.py
@@ -16,7 +16,7 @@
     Invalid,
     LostRace,
 )
-from agaterelay.core.manifest import plain
+from agaterelay.core.manifest import plain, plain_finding
 from agaterelay.core.model import ChangeRecord, Finding, Manifest, Place, Section
 from agaterelay.core.parse import parse_document
 from agaterelay.events import EventKind
@@ -155,7 +155,7 @@
             current_digest=decision.current_digest,
         )
     else:
-        findings = [_plain_finding(finding) for finding in decision.findings]
+        findings = [plain_finding(finding) for finding in decision.findings]
         message = "the document has findings"
         response = refuse(422, "invalid", message, findings=findings)
     operators.world.record(
@@ -173,16 +173,6 @@
     return f"{message}: revision {other.revision}, change {other.change_id}"
 
 
-def _plain_finding(finding: Finding) -> dict[str, Any]:
-    return {
-        "filename": finding.place.filename,
-        "line": finding.place.line,
-        "column": finding.place.column,
-        "section": finding.section,
-        "message": finding.message,
-    }
-
-
 async def show_change(operators: Operators, request: web.Request) -> web.Response:
     """Return one accepted change."""
     snapshot = operators.board.active
--- a/agaterelay/tasks/registry.py
+++ b/agaterelay/tasks/registry.py
@@ -75,10 +75,14 @@
     clock = gossip.world.clock
     give_up_s = clock.monotonic_s() + JOIN_GIVE_UP_S
     search = Search(_zones_to_read(registry), set(gossip.world.settings.seeds))
+    retry_s = JOIN_RETRY_S
     while not await _find_members(registry, search):
-        if clock.monotonic_s() >= give_up_s:
+        left_s = give_up_s - clock.monotonic_s()
+        if left_s <= 0:
             break
-        await clock.sleep(JOIN_RETRY_S * gossip.draw.uniform(0.5, 1.5))
+        await clock.sleep(min(retry_s * gossip.draw.uniform(0.5, 1.5), left_s))
+        # A whole fleet that joins at once must not flood the table with retries.
+        retry_s *= 2
     now_ms = int(clock.now().timestamp() * 1000)
     random_bits = gossip.draw.getrandbits(INCARNATION_RANDOM_BITS)
     incarnation = next_incarnation(now_ms, gossip.predecessor, random_bits)
--- a/tests/adapters/test_wire.py
+++ b/tests/adapters/test_wire.py
@@ -2,7 +2,7 @@
 from google.protobuf.message import DecodeError
 from hypothesis import example, given, settings, strategies as st
 
-from agaterelay.adapters import wire, wire_events
+from agaterelay.adapters import wire, wire_events, wire_evidence
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
 from agaterelay.core.messages import Brake, Exchange
 from agaterelay.core.model import Head
@@ -16,7 +16,7 @@
     (pb.NotifyRequest, wire.notify_from_wire),
     (pb.FetchRequest, wire.digests_from_wire),
     (pb.WitnessRequest, wire.witness_from_wire),
-    (pb.EvidenceReply, wire.report_from_wire),
+    (pb.EvidenceReply, wire_evidence.report_from_wire),
     (pb.EventsRequest, wire_events.query_from_wire),
     (pb.EventsReply, wire_events.events_from_wire),
     (pb.StatusReply, wire.status_from_wire),
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -123,6 +123,29 @@
     return [json.loads(line)["at"] for line in path.read_text().splitlines()]
 
 
+def changed_document(site, name, section, change):
+    """Write the document with one section's text changed; return its path."""
+    sections = (EXAMPLES / f"{name}.yaml").read_text().split("---\n")
+    sections = [
+        change(text) if f"section: {section}\n" in text else text for text in sections
+    ]
+    path = site.running.folder / f"{section}-move.yaml"
+    path.write_text("---\n".join(sections))
+    return path
+
+
+def find_move(site, name, skipped=None):
+    """Return a move as the first node that answers shows it, None without any."""
+    for host in site.running.hosts:
+        if host is skipped or host.node.poll() is not None:
+            continue
+        answer = fetch(f"http://{host.operators}/v1/moves", timeout_s=3)
+        for move in answer["moves"] if answer else ():
+            if move["name"] == name:
+                return move
+    return None
+
+
 @given(
     parsers.parse("the availability zones {names} with {count:d} hosts each"),
     target_fixture="site",
@@ -185,6 +208,27 @@
     site.traffic = callers.start_traffic(nodes, kinds, CALL_PERIOD_S)
 
 
+@when(
+    parsers.parse(
+        "the owner of {section} moves {service} in {name} to {version} "
+        "within {seconds:d} seconds"
+    )
+)
+def _start_move(site, section, service, name, version, seconds):
+    move = f"""moves:
+  - name: {service}-{version}
+    service: {service}
+    from: v1
+    to: {version}
+    finish_within_s: {seconds}
+    bake_s: 3
+"""
+    path = changed_document(site, name, section, lambda text: text + move)
+    done = apply_section(site, path, section, wait=False)
+    assert done.returncode == 0, done.stderr
+    site.finish_within_s = seconds
+
+
 @when(parsers.parse("{seconds:g} seconds pass"))
 def _pass(seconds):
     time.sleep(seconds)
--- a/tests/scenarios/test_moves.py
+++ b/tests/scenarios/test_moves.py
@@ -10,7 +10,7 @@
 
 from agaterelay.core.rendezvous import rank
 from standins.deployment import RECORDS_SUFFIX, HostProcesses, fetch, stop, wait_until
-from tests.scenarios.conftest import EXAMPLES, apply_section
+from tests.scenarios.conftest import find_move
 
 scenarios("moves.feature")
 
@@ -39,16 +39,6 @@
     return Watched()
 
 
-def find_move(site, watched, name):
-    for host in site.running.hosts:
-        if host.node.poll() is None and host is not watched.frozen:
-            answer = fetch(f"http://{host.operators}/v1/moves", timeout_s=3)
-            for move in answer["moves"] if answer else ():
-                if move["name"] == name:
-                    return move
-    return None
-
-
 def upstreams_of(site, service, version, zone=None):
     """Return the addresses of a version's upstreams, of one zone or of all."""
     return [
@@ -70,36 +60,10 @@
     ]
 
 
-@when(
-    parsers.parse(
-        "the owner of {section} moves {service} in {name} to {version} "
-        "within {seconds:d} seconds"
-    )
-)
-def _start_move(site, section, service, name, version, seconds):
-    move = f"""moves:
-  - name: {service}-{version}
-    service: {service}
-    from: v1
-    to: {version}
-    finish_within_s: {seconds}
-    bake_s: 3
-"""
-    sections = (EXAMPLES / f"{name}.yaml").read_text().split("---\n")
-    changed = [
-        text + move if f"section: {section}\n" in text else text for text in sections
-    ]
-    path = site.running.folder / f"{section}-move.yaml"
-    path.write_text("---\n".join(changed))
-    done = apply_section(site, path, section, wait=False)
-    assert done.returncode == 0, done.stderr
-    site.finish_within_s = seconds
-
-
 @when(parsers.parse("the move {name} has a share of {share:d} permille"))
 def _share(site, watched, name, share):
     def reached():
-        move = find_move(site, watched, name)
+        move = find_move(site, name, watched.frozen)
         return move is not None and move["share_permille"] >= share
 
     wait_until(reached, f"{name} at {share} permille", 40)
@@ -146,11 +110,11 @@
 
 def wait_for_verdict(site, watched, name):
     def ended():
-        move = find_move(site, watched, name)
+        move = find_move(site, name, watched.frozen)
         return move is not None and move["state"] in ("done", "reverted")
 
     wait_until(ended, f"the verdict on {name}", site.finish_within_s + FINISH_SLACK_S)
-    move = find_move(site, watched, name)
+    move = find_move(site, name, watched.frozen)
     watched.states[name] = move["state"]
     return move
 
@@ -161,7 +125,7 @@
     )
 )
 def _verdict(site, watched, name, route):
-    move = find_move(site, watched, name)
+    move = find_move(site, name, watched.frozen)
     assert f"route {route}:" in move["reason"]
     assert move["calls_harmed"] > 0
     assert move["started_at"] < move["first_failure_at"] < move["finished_at"]
@@ -197,4 +161,4 @@
 def _final(site, watched):
     time.sleep(QUIET_S)
     for name, state in watched.states.items():
-        assert find_move(site, watched, name)["state"] == state
+        assert find_move(site, name, watched.frozen)["state"] == state
--- a/tests/scenarios/test_users.py
+++ b/tests/scenarios/test_users.py
@@ -7,54 +7,13 @@
 
 from agaterelay.cli.api import ask
 from standins.deployment import fetch, spawn, start_node, stop, wait_until
-from tests.scenarios.conftest import EXAMPLES, OWNERS, apply_section
+from tests.scenarios.conftest import OWNERS, find_move
 
 scenarios("opening_night.feature", "guild_morning.feature")
 
 FINISH_SLACK_S = 10
 
 
-def changed_document(site, name, section, change):
-    """Write the document with one section's text changed; return its path."""
-    sections = (EXAMPLES / f"{name}.yaml").read_text().split("---\n")
-    sections = [
-        change(text) if f"section: {section}\n" in text else text for text in sections
-    ]
-    path = site.running.folder / f"{section}-move.yaml"
-    path.write_text("---\n".join(sections))
-    return path
-
-
-def find_move(site, name):
-    for host in site.running.hosts:
-        answer = fetch(f"http://{host.operators}/v1/moves", timeout_s=1)
-        for move in answer["moves"] if answer else ():
-            if move["name"] == name:
-                return move
-    return None
-
-
-@when(
-    parsers.parse(
-        "the owner of {section} moves {service} in {name} to {version} "
-        "within {seconds:d} seconds"
-    )
-)
-def _start_move(site, section, service, name, version, seconds):
-    move = f"""moves:
-  - name: {service}-{version}
-    service: {service}
-    from: v1
-    to: {version}
-    finish_within_s: {seconds}
-    bake_s: 3
-"""
-    path = changed_document(site, name, section, lambda text: text + move)
-    done = apply_section(site, path, section, wait=False)
-    assert done.returncode == 0, done.stderr
-    site.finish_within_s = seconds
-
-
 @when(parsers.parse("host {number:d} is replaced"))
 def _replace(site, number):
     host = site.host(number)
