--- a/agaterelay/tasks/reader.py
+++ b/agaterelay/tasks/reader.py
@@ -25,7 +25,7 @@
 
 READERS_PER_ZONE = 2
 HEAD_ROW = "head"
-JOIN_WAIT_S = 2.0
+JOIN_WAIT_S = 3.0
 JOIN_POLL_S = 0.02
 VIEW_WAIT_S = 0.5
 SETTLE_RETRY_S = 0.4
@@ -92,7 +92,7 @@
 
 
 async def wait_for_peers(reader: Reader) -> None:
-    """Wait until other hosts are known, so that few nodes take themselves for readers.
+    """Wait until this host has joined, so that few nodes take themselves for readers.
 
     In a herd every host takes itself for a reader until it has heard of the others, so
     one that does waits a little longer. A node that knows of none after a while goes
@@ -104,7 +104,7 @@
 
 
 def _knows_its_turn(reader: Reader, age_s: float) -> bool:
-    if len(reader.board.members) < 2:
+    if not reader.board.own.incarnation or len(reader.board.members) < 2:
         return age_s >= JOIN_WAIT_S
     takes_itself = is_reader(reader.board, reader.world.settings.zone)
     return not takes_itself or age_s >= VIEW_WAIT_S
