--- a/agaterelay/adapters/log.py
+++ b/agaterelay/adapters/log.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import io
+import json
 import logging
+import os
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TextIO
 
 import structlog
 
@@ -21,22 +24,78 @@
     EventKind.CALL_UNKNOWN: 20,
     EventKind.CALL_FAILED: 20,
     EventKind.CALL_TRY_ENDED: 60,
+    EventKind.CALL_CANCELLED: 20,
+    EventKind.CALL_REPEATED: 20,
+    EventKind.BUDGET_SPENT: 10,
+    EventKind.CALL_ENDED: 20,
     EventKind.LIBRARY_WARNING: 20,
 }
 
 
-def configure_log() -> None:
-    """Write logs as JSON lines to standard error."""
+def configure_log(stream: TextIO | None = None) -> None:
+    """Write logs as JSON lines to a stream, standard error if none is given."""
     structlog.configure(
         processors=[
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(sort_keys=True),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
     )
 
 
+class LineSink(io.TextIOBase):
+    """Writes whole lines to a descriptor and never waits for its reader.
+
+    Lines that the reader has no room for are left out; the next one that is written
+    says how many.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rest = b""
+        self.dropped = 0
+
+    def write(self, text: str) -> int:
+        """Write a line, or count that it was left out."""
+        line = text.encode()
+        if not line.strip():
+            return len(text)
+        if not line.endswith(b"\n"):
+            line += b"\n"
+        if self.dropped and not self._rest:
+            kind = EventKind.LOG_DROPPED
+            note = {"event": kind.name.lower(), "number": kind.number}
+            note["lines"] = self.dropped
+            line = json.dumps(note).encode() + b"\n" + line
+        if self._rest and not self._push(b""):
+            self.dropped += 1
+            return len(text)
+        if self._push(line):
+            self.dropped = 0
+        return len(text)
+
+    def _push(self, line: bytes) -> bool:
+        """Write what is left and a line; return whether all before it is out."""
+        data = self._rest + line
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            if line and not self._rest:
+                self.dropped += 1
+            return False
+        except OSError:
+            # Nobody reads any more; a node serves without its log.
+            self.dropped += 1
+            return False
+        self._rest = data[written:]
+        return not self._rest or bool(line)
+
+    def flush(self) -> None:
+        """Do nothing: every line is written at once or not at all."""
+
+
 def make_recorder(timeline: Timeline) -> Recorder:
     """Return a function that records an event with its fields.
 
--- a/agaterelay/core/membership.py
+++ b/agaterelay/core/membership.py
@@ -29,7 +29,11 @@
 
 @attrs.frozen
 class UpstreamInfo:
-    """An upstream as announced to the node of its host."""
+    """An upstream as announced to the node of its host.
+
+    ``instance`` names one start of it where the platform gives starts names;
+    ``born_ms`` is that start, in milliseconds since 1970.
+    """
 
     service: str
     version: str
@@ -37,6 +41,8 @@
     slots: int
     connections: int = 0
     draining: bool = False
+    instance: str = ""
+    born_ms: int = 0
 
 
 @attrs.frozen
--- a/agaterelay/core/model.py
+++ b/agaterelay/core/model.py
@@ -66,7 +66,10 @@
 class Route:
     """A path prefix and methods that lead to a service.
 
-    A route that is not idempotent runs each call at most once.
+    A route that is not idempotent runs each call at most once. ``host`` restricts it to
+    one host name, ``parts`` split it between services by weight, ``rank`` orders calls
+    at a full upstream (0 goes first), and ``max_attempts`` bounds the upstreams that
+    one call is sent to. ``target_latency_ms`` is what the operator hopes for.
     """
 
     name: str
@@ -77,6 +80,36 @@
     idempotent: bool = False
     timeout_ms: int = 2000
     priority: Priority = Priority.INTERACTIVE
+    host: str = ""
+    parts: tuple[tuple[str, int], ...] = ()
+    rank: int = 1
+    max_attempts: int = 2
+    target_latency_ms: int = 1000
+
+
+@attrs.frozen
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.frozen
+class RouteTable:
+    """A whole configuration as a deployed node serves it.
+
+    ``revision`` orders configurations; ``source`` is the document as the operator
+    wrote it, to be handed on unchanged.
+    """
+
+    revision: int
+    routes: tuple[Route, ...] = ()
+    health_paths: dict[str, str] = attrs.field(factory=dict)
+    limits: CallerLimits = attrs.field(factory=CallerLimits)
+    source: bytes = attrs.field(default=b"", repr=False, eq=False)
 
 
 @attrs.frozen
--- /dev/null
+++ b/agaterelay/mesh/entry.py
@@ -0,0 +1,440 @@
+"""The entry of a node: takes its callers' requests to an upstream, and answers them.
+
+A request is matched to a route, its service to a version, and then placed on the
+upstream that is expected to answer soonest. A gate that refuses costs the caller a
+round trip only, so the request is placed elsewhere at once. A repeat of a request that
+has reached an upstream is bounded by the route, by the budget, and by what a repeat
+may harm. The caller gets its final answer as soon as nothing better can come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from agaterelay.core.call import Call, RawHeaders
+from agaterelay.core.membership import Member, UpstreamInfo
+from agaterelay.core.model import Route, RouteTable
+from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
+from agaterelay.core.placing import LoadReport, TargetLoad, cheapest, expected_ms
+from agaterelay.core.rendezvous import rank
+from agaterelay.core.retry_budget import RetryBudget, earn, share_slack, spend
+from agaterelay.core.trial import should_brake, trial_share
+from agaterelay.core.weighted import Split, next_part, spread_from
+from agaterelay.events import EventKind
+from agaterelay.mesh.gate import Ran
+from agaterelay.mesh.links import (
+    LinkDownError,
+    Links,
+    is_usable,
+    load_of,
+    send_call,
+)
+from agaterelay.mesh.state import Context, MeshState, targets_of, versions_of
+
+# Gates that are asked in turn; more would cost more than the caller gains.
+MAX_PLACEMENTS = 4
+# When to come back where nothing is known about the load.
+NO_UPSTREAM_RETRY_S = 0.3
+NO_TABLE_RETRY_S = 0.5
+# A repeat is made only where this part of the usual time is left.
+REPEAT_NEEDS_PART = 0.8
+# The gate ends a call at its deadline; after this its answer is not waited for.
+GATE_MARGIN_S = 0.06
+FAILURE_STATUS = 500
+# One in so many good calls is logged.
+GOOD_SAMPLE = 400
+_NO_REPORT = LoadReport()
+
+
+@attrs.frozen
+class Request:
+    """What a caller asked for; ``wait_ms`` is how long it waits, if it says."""
+
+    call_id: str
+    method: str
+    host: str
+    path: str
+    headers: RawHeaders
+    body: bytes = attrs.field(repr=False)
+    wait_ms: int | None = None
+
+
+@attrs.define
+class TrialView:
+    """What this entry's own calls showed of a version on trial."""
+
+    credit: float
+    calls: int = 0
+    failures: int = 0
+
+
+@attrs.define
+class Entry:
+    """The entry's state."""
+
+    context: Context
+    state: MeshState
+    links: Links
+    budget: RetryBudget
+    draw: random.Random = attrs.field(factory=random.Random)
+    splits: dict[str, Split] = attrs.field(factory=dict)
+    trials: dict[tuple[str, int], TrialView] = attrs.field(factory=dict)
+    routes: dict[str, tuple[Route, ...]] = attrs.field(factory=dict)
+    routes_of: RouteTable | None = None
+    in_flight: int = 0
+    good: int = 0
+    count_end: Callable[[str, str, float], None] = lambda route, outcome, elapsed_s: (
+        None
+    )
+
+
+@attrs.define
+class Journey:
+    """One request on its way; times are on the steady clock."""
+
+    request: Request
+    route: Route
+    service: str
+    started_s: float
+    deadline_s: float
+    tried: set[str] = attrs.field(factory=set)
+    arrivals: int = 0
+    placements: int = 0
+    last: Outcome | None = None
+    retry_after_s: float | None = None
+
+
+def match_request(entry: Entry, host: str, path: str) -> Route | None:
+    """Return the route of a host with the longest prefix that begins a path."""
+    table = entry.state.table
+    if entry.routes_of is not table:
+        by_host: dict[str, list[Route]] = {}
+        for route in table.routes if table else ():
+            by_host.setdefault(route.host, []).append(route)
+        entry.routes = {
+            name: tuple(sorted(routes, key=lambda item: -len(item.path)))
+            for name, routes in by_host.items()
+        }
+        entry.routes_of = table
+    for route in entry.routes.get(host, ()):
+        if path.startswith(route.path):
+            return route
+    return None
+
+
+def choose_service(entry: Entry, route: Route) -> str:
+    """Return the service of the next call on a route."""
+    if not route.parts:
+        return route.service
+    split = entry.splits.get(route.name)
+    if split is None or split.parts != route.parts:
+        start = entry.draw.randrange(1 << 16)
+        split = entry.splits[route.name] = spread_from(route.parts, start)
+    return next_part(split)
+
+
+def choose_version(entry: Entry, service: str) -> tuple[str, bool]:
+    """Return the version for a first try, and whether it comes as a burst."""
+    serving, on_trial = versions_of(entry.state, service)
+    order = entry.state.orders.get(service)
+    if on_trial is None or order is None:
+        return serving, False
+    key = (service, order.number)
+    began_s = entry.state.trial_began_s.get(key)
+    if began_s is None or key in entry.state.braked:
+        return serving, False
+    trial = entry.trials.get(key)
+    if trial is None:
+        trial = entry.trials[key] = TrialView(credit=-entry.draw.random())
+    allowed = entry.context.deployment.bounds.expose_share
+    elapsed_s = entry.context.clock.monotonic_s() - began_s
+    share, burst = trial_share(allowed, elapsed_s)
+    trial.credit = min(trial.credit + share, 2.0)
+    if trial.credit < 1:
+        return serving, False
+    if not any(
+        is_usable(entry.links, member)
+        for member in targets_of(entry.state, service, on_trial)
+    ):
+        return serving, False
+    trial.credit -= 1
+    return on_trial, burst
+
+
+def place(
+    entry: Entry, journey: Journey, version: str, burst: bool
+) -> tuple[Member, UpstreamInfo] | None:
+    """Choose the upstream for the next try, None where none can be reached."""
+    now_s = entry.context.clock.monotonic_s()
+    own = entry.state.own
+    members = [
+        member
+        for member in targets_of(entry.state, journey.service, version)
+        if member.host not in journey.tried and is_usable(entry.links, member)
+    ]
+    if burst and members:
+        first = rank([member.host for member in members], version)[0]
+        members = [member for member in members if member.host == first]
+
+    def cost_ms(member: Member) -> float:
+        return expected_ms(
+            load_of(entry.links, member.host),
+            member.upstreams[0].slots,
+            member.zone == own.zone,
+            now_s,
+        )
+
+    chosen = cheapest(members, cost_ms, entry.draw)
+    return (chosen, chosen.upstreams[0]) if chosen is not None else None
+
+
+async def serve(entry: Entry, request: Request) -> Outcome:
+    """Return how a caller's request ended."""
+    started_s = entry.context.clock.monotonic_s()
+    if entry.state.table is None:
+        return NotRun("no configuration is known yet", NO_TABLE_RETRY_S)
+    path = request.path.partition("?")[0]
+    route = match_request(entry, request.host, path)
+    if route is None:
+        return Answered(404, (), b"no route\n")
+    wait_s = route.timeout_ms / 1000
+    if request.wait_ms is not None:
+        wait_s = min(wait_s, request.wait_ms / 1000)
+    service = choose_service(entry, route)
+    journey = Journey(request, route, service, started_s, started_s + wait_s)
+    earn(entry.budget, service)
+    entry.in_flight += 1
+    try:
+        outcome = await _travel(entry, journey)
+    except asyncio.CancelledError:
+        entry.context.record(
+            EventKind.CALL_CANCELLED,
+            request_id=request.call_id,
+            route=route.name,
+            tried=len(journey.tried),
+            elapsed_ms=_elapsed_ms(entry, journey),
+        )
+        raise
+    finally:
+        entry.in_flight -= 1
+    _log_end(entry, journey, outcome)
+    return outcome
+
+
+async def _travel(entry: Entry, journey: Journey) -> Outcome:
+    """Try upstreams until there is a final outcome."""
+    version, burst = choose_version(entry, journey.service)
+    on_trial = version
+    while True:
+        found = place(entry, journey, version, burst)
+        if found is None:
+            serving, _ = versions_of(entry.state, journey.service)
+            if version != serving:
+                version, burst = serving, False
+                continue
+            return _final(entry, journey, "no upstream can be reached")
+        member, upstream = found
+        journey.tried.add(member.host)
+        journey.placements += 1
+        ran = await _try(entry, journey, member, upstream)
+        if version == on_trial:
+            _note_trial(entry, journey.service, version, ran)
+        if ran is None:
+            continue
+        outcome = ran.outcome
+        journey.arrivals += ran.arrived
+        if not _wants_repeat(journey, outcome):
+            return outcome
+        journey.last = outcome if ran.arrived else journey.last
+        if isinstance(outcome, NotRun):
+            _note_retry_after(journey, outcome)
+        serving, _ = versions_of(entry.state, journey.service)
+        version, burst = serving, False
+        if not _may_repeat(entry, journey, ran):
+            return _final(entry, journey, _reason_of(outcome))
+
+
+def _wants_repeat(journey: Journey, outcome: Outcome) -> bool:
+    if isinstance(outcome, NotRun):
+        return True
+    if not journey.route.idempotent:
+        return False
+    return isinstance(outcome, Unknown) or outcome.status >= FAILURE_STATUS
+
+
+def _may_repeat(entry: Entry, journey: Journey, ran: Ran) -> bool:
+    """Return whether another try may be made, and take it from the budget."""
+    now_s = entry.context.clock.monotonic_s()
+    left_s = journey.deadline_s - now_s
+    if left_s < REPEAT_NEEDS_PART * ran.report.work_ms / 1000:
+        return False
+    if journey.placements >= MAX_PLACEMENTS:
+        return False
+    if not journey.arrivals:
+        return True
+    if journey.arrivals >= journey.route.max_attempts:
+        return False
+    if not ran.arrived:
+        # The repeat was paid for when it was decided on; a gate refused it.
+        return True
+    if not spend(entry.budget, journey.service):
+        entry.context.record(
+            EventKind.BUDGET_SPENT,
+            request_id=journey.request.call_id,
+            service=journey.service,
+        )
+        return False
+    entry.context.record(
+        EventKind.CALL_REPEATED,
+        request_id=journey.request.call_id,
+        route=journey.route.name,
+        tried=len(journey.tried),
+        reason=_reason_of(ran.outcome),
+        elapsed_ms=_elapsed_ms(entry, journey),
+    )
+    return True
+
+
+async def _try(
+    entry: Entry, journey: Journey, member: Member, upstream: UpstreamInfo
+) -> Ran | None:
+    """Send the request to one upstream; None where it could not be sent."""
+    request = journey.request
+    route = journey.route
+    call = Call(
+        call_id=request.call_id,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        route=route.name,
+        service=journey.service,
+        version=upstream.version,
+        instance=upstream.instance,
+        caller_service=entry.context.deployment.service,
+        idempotent=route.idempotent,
+        rank=route.rank,
+        deadline_s=journey.deadline_s,
+        target_s=journey.started_s + route.target_latency_ms / 1000,
+        repeat=journey.arrivals > 0,
+    )
+    now_s = entry.context.clock.monotonic_s()
+    load = load_of(entry.links, member.host)
+    try:
+        async with asyncio.timeout(journey.deadline_s - now_s + GATE_MARGIN_S):
+            ran = await send_call(entry.links, member.host, call)
+    except LinkDownError:
+        return None
+    except TimeoutError:
+        outcome = Unknown("no answer before the deadline")
+        ran = Ran(outcome, True, load.report or _NO_REPORT)
+    if not isinstance(ran.outcome, Answered):
+        entry.context.record(
+            EventKind.CALL_TRY_ENDED,
+            request_id=request.call_id,
+            peer=member.host,
+            instance=upstream.instance,
+            outcome=type(ran.outcome).__name__,
+            reason=ran.outcome.reason,
+            load=_describe_load(load, now_s),
+            elapsed_ms=_elapsed_ms(entry, journey),
+        )
+    return ran
+
+
+def _describe_load(load: TargetLoad, now_s: float) -> str:
+    """Return what a try was placed on: the load as known, and its age."""
+    if load.report is None:
+        return "unknown"
+    age_ms = round((now_s - load.reported_s) * 1000)
+    return (
+        f"{load.report.in_flight}/{load.report.slots} {load.report.work_ms} ms, "
+        f"failing {load.report.failing}, {age_ms} ms old"
+    )
+
+
+def _note_retry_after(journey: Journey, outcome: NotRun) -> None:
+    if journey.retry_after_s is None or outcome.retry_after_s < journey.retry_after_s:
+        journey.retry_after_s = outcome.retry_after_s
+
+
+def _final(entry: Entry, journey: Journey, reason: str) -> Outcome:
+    """Return what the caller is told when no more tries are made.
+
+    A try that reached an upstream decides: its answer, or that it may have run. What
+    ran nowhere is refused, with the time at which room is likely.
+    """
+    if journey.last is not None and not isinstance(journey.last, NotRun):
+        return journey.last
+    retry_s = journey.retry_after_s
+    return NotRun(reason, NO_UPSTREAM_RETRY_S if retry_s is None else retry_s)
+
+
+def _reason_of(outcome: Outcome) -> str:
+    if isinstance(outcome, Answered):
+        return f"status {outcome.status}"
+    return outcome.reason
+
+
+def _note_trial(entry: Entry, service: str, version: str, ran: Ran | None) -> None:
+    """Count a call of a version on trial, and brake where they fail."""
+    order = entry.state.orders.get(service)
+    if ran is None or order is None or order.to_version != version or not ran.arrived:
+        return
+    key = (service, order.number)
+    trial = entry.trials.get(key)
+    if trial is None:
+        return
+    trial.calls += 1
+    failed = not isinstance(ran.outcome, Answered)
+    trial.failures += failed or ran.outcome.status >= FAILURE_STATUS
+    if key not in entry.state.braked and should_brake(trial.calls, trial.failures):
+        entry.state.braked.add(key)
+        entry.context.record(
+            EventKind.MOVE_BRAKED,
+            service=service,
+            version=version,
+            order=order.number,
+            reason=f"{trial.failures} of {trial.calls} calls of this entry failed",
+        )
+
+
+def _elapsed_ms(entry: Entry, journey: Journey) -> int:
+    return round((entry.context.clock.monotonic_s() - journey.started_s) * 1000)
+
+
+def _log_end(entry: Entry, journey: Journey, outcome: Outcome) -> None:
+    """Log how a request ended; good ones are sampled."""
+    elapsed_ms = _elapsed_ms(entry, journey)
+    kind = type(outcome).__name__.lower()
+    entry.count_end(journey.route.name, kind, elapsed_ms / 1000)
+    fields = {
+        "request_id": journey.request.call_id,
+        "route": journey.route.name,
+        "service": journey.service,
+        "tried": len(journey.tried),
+        "arrivals": journey.arrivals,
+        "elapsed_ms": elapsed_ms,
+    }
+    if isinstance(outcome, Answered):
+        entry.good += 1
+        if entry.good % GOOD_SAMPLE == 0 or outcome.status >= FAILURE_STATUS:
+            entry.context.record(EventKind.CALL_ENDED, status=outcome.status, **fields)
+    elif isinstance(outcome, NotRun):
+        entry.context.record(
+            EventKind.CALL_NOT_RUN,
+            reason=outcome.reason,
+            retry_after_s=outcome.retry_after_s,
+            **fields,
+        )
+    else:
+        entry.context.record(EventKind.CALL_UNKNOWN, reason=outcome.reason, **fields)
+
+
+def follow_fleet_size(entry: Entry, slack: float) -> None:
+    """Share the budget's slack between the nodes that are known."""
+    share_slack(entry.budget, slack, len(entry.state.members) + 1)
--- /dev/null
+++ b/agaterelay/mesh/node.py
@@ -0,0 +1,222 @@
+"""A deployed node: builds its tasks, runs them, and stops gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from agaterelay.core.announcement import UpstreamState
+from agaterelay.core.deployment import Deployment
+from agaterelay.core.membership import Member
+from agaterelay.core.retry_budget import budget_of
+from agaterelay.events import EventKind
+from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
+from agaterelay.mesh.entry import Entry, Request, follow_fleet_size, serve
+from agaterelay.mesh.gate import Gate, follow_line
+from agaterelay.mesh.links import Links, follow_members, start_links, watch_links
+from agaterelay.mesh.meters import Meters
+from agaterelay.mesh.mover import Mover, run_mover
+from agaterelay.mesh.servers import (
+    Listening,
+    listen,
+    read_whole,
+    response_of,
+    stop_listening,
+)
+from agaterelay.mesh.state import Context, MeshState
+from agaterelay.mesh.watch import (
+    Watch,
+    prune_members,
+    watch_fleet,
+    watch_operator,
+    write_own_row,
+)
+
+RESTART_DELAY_S = 0.2
+# Callers are told by the platform, which asks once a second and waits for two misses.
+MIN_STOP_S = 3.2
+# A stopping node that got no request for this long has no callers left.
+STOP_QUIET_S = 0.7
+# Kept of the grace period for closing what is open.
+STOP_MARGIN_S = 0.6
+STOP_POLL_S = 0.05
+UPKEEP_PERIOD_S = 1.0
+
+
+@attrs.define
+class Node:
+    """All parts of a deployed node."""
+
+    context: Context
+    state: MeshState
+    gate: Gate
+    links: Links
+    watch: Watch
+    entry: Entry
+    mover: Mover
+    meters: Meters
+    last_request_s: float = 0.0
+
+
+def own_member(deployment: Deployment, incarnation: int) -> Member:
+    """Return the entry of a host that has just started."""
+    return Member(
+        host=deployment.link_address,
+        zone=deployment.zone,
+        incarnation=incarnation,
+        sequence=0,
+    )
+
+
+def new_entry(context: Context, state: MeshState, links: Links) -> Entry:
+    """Return an entry with this node's part of the budget for repeats."""
+    bounds = context.deployment.bounds
+    budget = budget_of(bounds.retry_ratio, bounds.retry_slack, 1)
+    return Entry(context, state, links, budget)
+
+
+def is_ready(node: Node) -> bool:
+    """Return whether callers should send their requests here."""
+    if node.state.stopping or node.state.table is None:
+        return False
+    if node.gate.line.state is UpstreamState.READY:
+        return True
+    return any(link.usable for link in node.links.links.values())
+
+
+async def answer_caller(
+    node: Node, request: web.BaseRequest, make_request: Callable[..., Request]
+) -> web.StreamResponse:
+    """Serve one request of a caller."""
+    node.last_request_s = node.context.clock.monotonic_s()
+    table = node.state.table
+    max_bytes = table.limits.max_body_bytes if table else 1 << 20
+    body = await read_whole(request, max_bytes)
+    if body is None:
+        response = web.Response(status=413, text="the body is too large\n")
+        response.force_close()
+        return response
+    wanted = make_request(
+        request.method, request.raw_path, request.raw_headers, request.headers, body
+    )
+    response = response_of(await serve(node.entry, wanted))
+    if node.state.stopping:
+        response.force_close()
+    return response
+
+
+async def keep_up(node: Node) -> None:
+    """Look after what changes slowly, until cancelled."""
+    slack = node.context.deployment.bounds.retry_slack
+    while True:
+        await node.context.clock.sleep(UPKEEP_PERIOD_S)
+        follow_fleet_size(node.entry, slack)
+        lapse_if_silent(node.watch, node.gate)
+
+
+async def supervise(
+    context: Context, name: str, start: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
+    """Run a task; where it fails, record that and start it again."""
+    while True:
+        try:
+            await start()
+        except Exception as error:
+            context.record(
+                EventKind.TASK_FAILED,
+                task=name,
+                error=f"{type(error).__name__}: {error}",
+            )
+        await context.clock.sleep(RESTART_DELAY_S)
+
+
+def start_tasks(node: Node) -> list[asyncio.Task[None]]:
+    """Start the node's own tasks."""
+    starts: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+        "operator": lambda: watch_operator(node.watch),
+        "fleet": lambda: watch_fleet(node.watch),
+        "own row": lambda: write_own_row(node.watch),
+        "prune": lambda: prune_members(node.watch),
+        "links": lambda: watch_links(node.links),
+        "mover": lambda: run_mover(node.mover),
+        "upkeep": lambda: keep_up(node),
+    }
+    return [
+        asyncio.create_task(supervise(node.context, name, start), name=name)
+        for name, start in starts.items()
+    ]
+
+
+async def run_node(
+    node: Node,
+    servers: Callable[[Node], list[tuple[web.Server, str]]],
+    reload: Callable[[], Awaitable[None]],
+) -> None:
+    """Run a node until it is told to stop.
+
+    Args:
+        node: The node.
+        servers: Returns the HTTP servers of the node and their addresses.
+        reload: Reads the settings again.
+
+    Raises:
+        OSError: An address cannot be bound.
+    """
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: asyncio.ensure_future(reload()))
+    deployment = node.context.deployment
+    await start_links(node.links)
+    listening = Listening()
+    for server, address in servers(node):
+        await listen(listening, server, address)
+    node.context.record(
+        EventKind.NODE_STARTED,
+        zone=deployment.zone,
+        service=deployment.service,
+        incarnation=node.state.own.incarnation,
+    )
+    tasks = start_tasks(node)
+    follow_members(node.links)
+    # What was made at the start stays; the collector need not look at it again.
+    gc.collect()
+    gc.freeze()
+    await stopping.wait()
+    await stop_gracefully(node)
+    for task in tasks:
+        task.cancel()
+    await stop_listening(listening, STOP_MARGIN_S / 2)
+    node.context.record(EventKind.NODE_STOPPED)
+
+
+async def stop_gracefully(node: Node) -> None:
+    """Take no new work, let callers move on, and finish what is in flight."""
+    clock = node.context.clock
+    began_s = clock.monotonic_s()
+    node.state.stopping = True
+    node.gate.stopping = True
+    node.context.record(
+        EventKind.NODE_STOPPING,
+        calls_in_flight=node.gate.in_flight,
+        requests_in_flight=node.entry.in_flight,
+    )
+    tell_stopping(node.watch)
+    follow_line(node.gate)
+    last_s = node.context.deployment.bounds.grace_s - STOP_MARGIN_S
+    while True:
+        await clock.sleep(STOP_POLL_S)
+        now_s = clock.monotonic_s()
+        quiet = now_s - node.last_request_s >= STOP_QUIET_S
+        busy = node.entry.in_flight or node.gate.in_flight
+        if now_s - began_s >= last_s:
+            return
+        if now_s - began_s >= MIN_STOP_S and quiet and not busy:
+            return
--- /dev/null
+++ b/agaterelay/mesh/state.py
@@ -0,0 +1,141 @@
+"""What the tasks of a deployed node publish to each other; one writer a field."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from agaterelay.adapters.log import Recorder
+from agaterelay.core.deployment import Deployment
+from agaterelay.core.membership import Member
+from agaterelay.core.model import MoveState, RouteTable
+from agaterelay.core.trial import MoveRecord, Order, usable_versions
+from agaterelay.ports import Clock, Store
+
+
+@attrs.frozen
+class Context:
+    """The ports and settings that all tasks use."""
+
+    deployment: Deployment
+    clock: Clock
+    store: Store
+    record: Recorder
+
+
+@attrs.define
+class MeshState:
+    """The published state of a deployed node.
+
+    ``versions`` caches which version serves a service; it is dropped whenever what it
+    was worked out from changes.
+    """
+
+    own: Member  # written by the announcements
+    members: dict[str, Member] = attrs.field(factory=dict)  # written by the watch
+    table: RouteTable | None = None  # written by the watch
+    orders: dict[str, Order] = attrs.field(factory=dict)  # written by the watch
+    moves: dict[tuple[str, str], MoveRecord] = attrs.field(factory=dict)
+    trial_began_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    braked: set[tuple[str, int]] = attrs.field(factory=set)
+    store_up: bool = False  # written by the watch
+    stopping: bool = False  # written by the node
+    news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    versions: dict[str, tuple[str, str | None]] = attrs.field(factory=dict)
+    targets: dict[tuple[str, str], list[Member]] = attrs.field(factory=dict)
+
+
+def revision_of(state: MeshState) -> int:
+    """Return the revision in force, 0 without any."""
+    return state.table.revision if state.table else 0
+
+
+def forget_derived(state: MeshState) -> None:
+    """Drop what was worked out from members, orders and moves."""
+    state.versions.clear()
+    state.targets.clear()
+
+
+def all_members(state: MeshState) -> list[Member]:
+    """Return this host and all others that are known."""
+    others = [item for item in state.members.values() if item.host != state.own.host]
+    return [state.own, *others]
+
+
+def targets_of(state: MeshState, service: str, version: str) -> list[Member]:
+    """Return the hosts whose upstream takes calls for a version of a service."""
+    key = (service, version)
+    found = state.targets.get(key)
+    if found is None:
+        found = state.targets[key] = [
+            member
+            for member in all_members(state)
+            if member.usable
+            for upstream in member.upstreams
+            if upstream.service == service
+            and upstream.version == version
+            and not upstream.draining
+        ]
+    return found
+
+
+def versions_of(state: MeshState, service: str) -> tuple[str, str | None]:
+    """Return the version that serves a service, and the one on trial or None."""
+    found = state.versions.get(service)
+    if found is None:
+        present: dict[str, int] = {}
+        for member in all_members(state):
+            for upstream in member.upstreams:
+                if upstream.service == service:
+                    first_ms = present.get(upstream.version, upstream.born_ms)
+                    present[upstream.version] = min(first_ms, upstream.born_ms)
+        found = state.versions[service] = usable_versions(
+            service, present, state.orders, state.moves.values()
+        )
+    return found
+
+
+def take_order(state: MeshState, order: Order) -> bool:
+    """Take in an operator's order; return whether it is news."""
+    held = state.orders.get(order.service)
+    if held is not None and held.number >= order.number:
+        return False
+    state.orders[order.service] = order
+    forget_derived(state)
+    return True
+
+
+def take_move(
+    state: MeshState, record: MoveRecord, now_s: float, stored: bool = False
+) -> bool:
+    """Take in how far a move has come; return whether it is news.
+
+    A verdict is final: nothing brings a trial back. Of two verdicts on one order the
+    stored one holds.
+    """
+    key = (record.service, record.to_version)
+    held = state.moves.get(key)
+    if held is not None:
+        if record.number < held.number or record == held:
+            return False
+        if record.number == held.number and held.final:
+            if not (stored and record.final):
+                return False
+    state.moves[key] = record
+    if record.state is MoveState.STEPPING:
+        state.trial_began_s.setdefault((record.service, record.number), now_s)
+    forget_derived(state)
+    return True
+
+
+def take_member(state: MeshState, member: Member) -> bool:
+    """Take in what a host said of itself; return whether it is news."""
+    if member.host == state.own.host:
+        return False
+    held = state.members.get(member.host)
+    if held is not None and held.pair >= member.pair:
+        return False
+    state.members[member.host] = member
+    forget_derived(state)
+    return True
--- a/agaterelay/ports.py
+++ b/agaterelay/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from datetime import datetime
 from typing import Protocol
 
@@ -91,6 +92,66 @@
         """
 
 
+class HistoryLostError(PlatformError):
+    """The store no longer has the changes since a version; read the table whole."""
+
+
+@attrs.frozen
+class StoredRow:
+    """A row of a store with tables; ``version`` is 0 where it does not exist."""
+
+    table: str
+    key: str
+    value: bytes
+    version: int = 0
+    deleted: bool = False
+
+
+@attrs.frozen
+class Changes:
+    """Rows, and the version of the whole store that they are complete up to."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+@attrs.frozen
+class Conflict:
+    """A conditional write was not done; the rows are what stands there instead."""
+
+    rows: tuple[StoredRow, ...]
+
+
+class Store(Protocol):
+    """A store of rows in tables with conditional writes and change feeds."""
+
+    async def read_table(self, table: str, first: str = "", end: str = "") -> Changes:
+        """Return the rows of a table whose keys lie in a range.
+
+        Raises:
+            PlatformError: The store did not answer.
+        """
+
+    async def wait_for_changes(
+        self, table: str, after_version: int, wait_s: float
+    ) -> Changes:
+        """Return what changed after a version, as soon as there is something.
+
+        Raises:
+            HistoryLostError: The store no longer has the changes.
+            PlatformError: The store did not answer.
+        """
+
+    async def write(
+        self, writes: Iterable[StoredRow], removes: Iterable[StoredRow] = ()
+    ) -> Conflict | None:
+        """Write or remove rows together, if each still has the version it names.
+
+        Raises:
+            PlatformError: Nobody knows whether it was done, or will be.
+        """
+
+
 class PeerError(Exception):
     """A peer did not answer, or refused; its message says which.
 
