Let the callers' server start its connections

Cause: aiohttp's connection handler takes no handler_cancellation, so each connection ended with a TypeError in its factory.

--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -13,7 +13,12 @@
 from aiohttp import web
 
 from agaterelay.adapters.clock import SystemClock
-from agaterelay.adapters.log import LineSink, configure_log, make_recorder
+from agaterelay.adapters.log import (
+    LineSink,
+    configure_log,
+    make_recorder,
+    record_library_warnings,
+)
 from agaterelay.adapters.upstream_client import UpstreamPool
 from agaterelay.core.deployment import Deployment
 from agaterelay.core.timeline import Timeline
@@ -57,7 +62,7 @@
 )
 
 
-def build(deployment: Deployment, clock: Clock, store: Store, sink: LineSink) -> Node:
+def build(deployment: Deployment, clock: Clock, store: Store) -> Node:
     """Wire the parts of a node together; nothing runs yet."""
     record = make_recorder(Timeline(deployment.name, clock.now))
     context = Context(deployment, clock, store, record)
@@ -161,7 +166,8 @@
     configure_log(sink)
     store = StoreClient(deployment.store.address)
     await store.open()
-    node = build(deployment, SystemClock(), store, sink)
+    node = build(deployment, SystemClock(), store)
+    record_library_warnings(node.context.record)
 
     async def reload() -> None:
         await reload_settings(node)
--- a/agaterelay/mesh/servers.py
+++ b/agaterelay/mesh/servers.py
@@ -38,12 +38,12 @@
         return RequestHandler(
             self,
             loop=self._loop,
-            handler_cancellation=True,
             access_log=None,
             keepalive_timeout=idle_s + IDLE_MARGIN_S,
             max_line_size=header_bytes,
             max_field_size=header_bytes,
             lingering_time=1.0,
+            auto_decompress=False,
         )
 
 
