Test the deployed node on stand-ins of the store and of instances

Found by these tests: the test client normalised paths; nothing in the node. A restarted node now asks its upstream whether it stays before it admits on a first word (a late word would bring a leaving one back).

--- a/agaterelay/core/announcement.py
+++ b/agaterelay/core/announcement.py
@@ -84,13 +84,25 @@
     if word.draining:
         remember_left(line, start)
         return _change_state(line, UpstreamState.DRAINING) or current != word
-    if line.doubted:
-        line.doubted = current is None
+    if line.doubted and current is None:
         return False
+    line.doubted = False
     same = current is not None and (current.instance, current.born_ms) == start
     return _change_state(line, UpstreamState.READY) or not same
 
 
+def confirm(line: UpstreamLine) -> bool:
+    """Take in that the upstream itself answered that it is well and not leaving.
+
+    Returns:
+        Whether that changed what may be done.
+    """
+    if not line.doubted or line.current is None or line.current.draining:
+        return False
+    line.doubted = False
+    return _change_state(line, UpstreamState.READY)
+
+
 def withdraw(line: UpstreamLine, instance: str, born_ms: int | None) -> bool:
     """Take in that an upstream is about to end; return whether that is news.
 
--- a/agaterelay/core/deployment.py
+++ b/agaterelay/core/deployment.py
@@ -32,7 +32,8 @@
 
     ``link_address`` is where other nodes reach this one, ``calls_address`` where the
     callers and the upstream of this host send their calls, ``upstream_address`` where
-    the upstream listens.
+    the upstream listens. ``first_start`` is set only when the whole system starts for
+    the first time, so that nothing can have been confirmed before.
     """
 
     name: str
@@ -47,3 +48,4 @@
     store: StoreSettings
     bounds: Bounds = attrs.field(factory=Bounds)
     heartbeat_s: float = 1.5
+    first_start: bool = False
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -50,6 +50,7 @@
     headers=headers.upstream_headers,
     outcome=headers.answer_of,
     id_header=headers.ATTEMPT_ID_KEY,
+    instance_header=headers.INSTANCE_ID_KEY,
 )
 OPERATOR = OperatorFormat(
     table=orders.OPERATOR_TABLE,
@@ -70,6 +71,7 @@
     state = MeshState(own=own_member(deployment, incarnation))
     pool = UpstreamPool(deployment.upstream_address, WIRE.id_header)
     gate = Gate(context, WIRE, pool)
+    gate.line.doubted = not deployment.first_start
     watch: Watch | None = None
 
     def take_table(value: bytes) -> None:
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -33,6 +33,7 @@
     UPSTREAM_ANNOUNCED = (310, "An upstream announced itself to its host's node.")
     UPSTREAM_WITHDRAWN = (311, "An upstream left or its heartbeat lapsed.")
     UPSTREAM_DRAINING = (312, "An upstream takes no new work.")
+    UPSTREAM_PROBED = (314, "An upstream was asked whether it stays, and answered.")
     DRAIN_ASKED = (313, "An operator began or ended a drain.")
     CALL_NOT_RUN = (400, "A call was refused before any of it ran.")
     CALL_UNKNOWN = (401, "It is unknown whether a call ran.")
--- a/agaterelay/mesh/announcements.py
+++ b/agaterelay/mesh/announcements.py
@@ -10,11 +10,12 @@
     Announcement,
     UpstreamState,
     accept,
+    confirm,
     withdraw,
 )
 from agaterelay.core.membership import UpstreamInfo
 from agaterelay.events import EventKind
-from agaterelay.mesh.gate import Gate, begin_instance, follow_line
+from agaterelay.mesh.gate import Gate, begin_instance, follow_line, probe
 from agaterelay.mesh.watch import Watch, tell_own, try_write_own_row
 
 # A leave is confirmed within the second that the upstream waits, with the store or
@@ -30,7 +31,10 @@
     before = line.current
     now_s = watch.context.clock.monotonic_s()
     was = line.state
-    if not accept(line, word, now_s):
+    news = accept(line, word, now_s)
+    if line.doubted and not word.draining and line.current is word:
+        news = await _ask_upstream(watch, gate, word.instance) and confirm(line)
+    if not news:
         return
     if before is None or (before.instance, before.born_ms) != (
         word.instance,
@@ -40,6 +44,20 @@
     await _follow(watch, gate, was)
 
 
+async def _ask_upstream(watch: Watch, gate: Gate, instance: str) -> bool:
+    """Ask the upstream itself whether it is there and not about to leave.
+
+    A restarted node does not know what it had confirmed before. Without this answer a
+    second word of the upstream has to follow the first, which may be a late one.
+    """
+    table = watch.state.table
+    service = watch.context.deployment.service
+    path = table.health_paths.get(service) if table else None
+    if path is None:
+        return False
+    return await probe(gate, path, instance)
+
+
 async def take_withdrawal(
     watch: Watch, gate: Gate, instance: str, born_ms: int | None
 ) -> None:
--- a/agaterelay/mesh/gate.py
+++ b/agaterelay/mesh/gate.py
@@ -55,6 +55,8 @@
 DEADLINE_MARGIN_S = 0.005
 # Where a refused call may go at once: another upstream has room, or will soon.
 DRAINING_RETRY_S = 0.1
+# An announcement is confirmed within a second; the probe has to fit into that.
+PROBE_TIMEOUT_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,7 @@
     headers: Callable[[Call, int], RawHeaders]
     outcome: Callable[[int, RawHeaders, bytes, str], Outcome]
     id_header: bytes
+    instance_header: bytes
 
 
 @attrs.define
@@ -318,3 +321,35 @@
     return sum_tallies(
         tallies for second, tallies in gate.tallies if second >= int(since_s)
     )
+
+
+async def probe(gate: Gate, path: str, instance: str) -> bool:
+    """Return whether the upstream says that it is this instance, well and staying."""
+    clock = gate.context.clock
+    headers = ((b"Host", gate.context.deployment.upstream_address.encode()),)
+    try:
+        connection = await gate.pool.take(clock.monotonic_s())
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                answer = await connection.send(
+                    render_head("GET", path, headers, b""), b"", b"", False
+                )
+        except BaseException:
+            connection.close()
+            raise
+    except (NotSentError, AnswerLostError, TimeoutError) as error:
+        gate.context.record(
+            EventKind.UPSTREAM_PROBED,
+            instance=instance,
+            outcome=f"{type(error).__name__}: {error}",
+        )
+        return False
+    gate.pool.give_back(connection, clock.monotonic_s())
+    keys = {name.lower(): value for name, value in answer.headers}
+    named = keys.get(gate.wire.instance_header, b"").decode("latin-1")
+    gate.context.record(
+        EventKind.UPSTREAM_PROBED,
+        instance=instance,
+        outcome=f"status {answer.status} of {named or 'an unnamed instance'}",
+    )
+    return answer.status == 200 and named == instance
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -96,6 +96,7 @@
         factory=dict
     )
     next_number: int = 0
+    accepted: set[FrameConnection] = attrs.field(factory=set)
     own_load: TargetLoad = attrs.field(factory=TargetLoad)
     server: asyncio.Server | None = None
     asked_table_s: float = -1.0
@@ -112,7 +113,7 @@
         lambda: FrameConnection(
             lambda connection, frame: _take_frame(links, connection, frame),
             lambda connection, reason: _end_inbound(links, connection),
-            lambda connection: _greet(links, connection),
+            lambda connection: _begin_inbound(links, connection),
         ),
         host,
         int(port),
@@ -299,8 +300,14 @@
         links.take_table(zlib.decompress(frame[1]))
 
 
+def _begin_inbound(links: Links, connection: FrameConnection) -> None:
+    links.accepted.add(connection)
+    _greet(links, connection)
+
+
 def _end_inbound(links: Links, connection: FrameConnection) -> None:
     """Cancel the calls of a node whose link is gone: nobody waits for them."""
+    links.accepted.discard(connection)
     for (owner, _), task in tuple(links.running.items()):
         if owner is connection:
             task.cancel()
--- a/agaterelay/platform/settings.py
+++ b/agaterelay/platform/settings.py
@@ -44,6 +44,12 @@
     return float(value)
 
 
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"must be true or false, not {value!r}")
+    return value
+
+
 def load_deployment(path: Path) -> tuple[Deployment | None, tuple[Finding, ...]]:
     """Read a settings file.
 
@@ -112,5 +118,6 @@
         store=store,
         bounds=bounds,
         heartbeat_s=take("heartbeat", parse_seconds, 1.5),
+        first_start=take("bootstrap", _flag, False),
     )
     return (None if findings else deployment), tuple(findings)
--- /dev/null
+++ b/standins/instance.py
@@ -0,0 +1,200 @@
+"""A stand-in for an instance on the users' platform, with its faults.
+
+It announces itself to its host's node, runs calls with a limit on how many at once,
+and answers with its seal. A test reads from it what ran, and sets its faults.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import Counter
+from typing import Any
+
+import aiohttp
+import attrs
+
+MAX_HEAD_BYTES = 64 << 10
+
+
+@attrs.define
+class Instance:
+    """One start of an instance.
+
+    ``fault`` is one of: ``""``, ``error`` (500), ``reset`` (runs, then resets),
+    ``early_end`` (a part of the answer), ``extra`` (a second answer after it),
+    ``late_extra`` (the same, a moment later), ``garbage``, ``no_seal``, ``silent``.
+    """
+
+    instance: str
+    service: str
+    address: str
+    version: str = "v1"
+    zone: str = "a"
+    slots: int = 4
+    work_s: float = 0.0
+    born_ms: int = 1_000
+    fault: str = ""
+    ran: Counter[str] = attrs.field(factory=Counter)
+    heads: list[dict[str, str]] = attrs.field(factory=list)
+    bodies: list[bytes] = attrs.field(factory=list)
+    running: int = 0
+    most_running: int = 0
+    broken_off: int = 0
+    sequence: int = 0
+    server: asyncio.Server | None = None
+
+
+def body_of(call_id: str) -> bytes:
+    """Return the whole answer to a call."""
+    return hashlib.sha256(call_id.encode()).hexdigest().encode() * 8
+
+
+async def start_instance(instance: Instance) -> None:
+    """Serve calls until the instance is stopped."""
+    host, port = instance.address.rsplit(":", 1)
+    instance.server = await asyncio.start_server(
+        lambda reader, writer: _serve(instance, reader, writer), host, int(port)
+    )
+
+
+def stop_instance(instance: Instance) -> None:
+    """End at once, as in a crash."""
+    if instance.server is not None:
+        instance.server.close()
+
+
+async def announce(
+    instance: Instance, node: str, state: str = "ready", **changes: Any
+) -> int:
+    """Send one word to a node; return the status of its answer."""
+    instance.sequence += 1
+    word = {
+        "service": instance.service,
+        "address": instance.address,
+        "zone": instance.zone,
+        "version": instance.version,
+        "concurrency": instance.slots,
+        "state": state,
+        "coldLeft": "0ms",
+        "sequence": instance.sequence,
+        "born": instance.born_ms,
+        **changes,
+    }
+    url = f"http://{node}/v1/instances/{instance.instance}"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.put(url, json=word) as response,
+    ):
+        return response.status
+
+
+async def withdraw(instance: Instance, node: str) -> int:
+    """Tell a node that the instance ends; return the status of its answer."""
+    url = f"http://{node}/v1/instances/{instance.instance}"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.delete(url, json={"born": instance.born_ms}) as response,
+    ):
+        return response.status
+
+
+async def _serve(
+    instance: Instance, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    try:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode("latin-1").split("\r\n")
+            headers = dict(line.split(": ", 1) for line in lines[1:] if ": " in line)
+            body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+            await _run(instance, lines[0], headers, body, reader, writer)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        pass
+    finally:
+        writer.close()
+
+
+async def _run(
+    instance: Instance,
+    line: str,
+    headers: dict[str, str],
+    body: bytes,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    call_id = headers.get("X-Attempt-Id", "")
+    if line.startswith("GET /healthz"):
+        _write(writer, 200, {"X-Instance-Id": instance.instance}, b"")
+        return
+    if headers.get("X-Expect-Instance", instance.instance) != instance.instance:
+        _write(writer, 421, {"X-Instance-Id": instance.instance}, b"")
+        return
+    if instance.running >= instance.slots:
+        _write(writer, 503, {"X-Not-Executed": "1", "X-Attempt-Id": call_id}, b"")
+        return
+    instance.ran[call_id] += 1
+    instance.heads.append({"": line, **headers})
+    instance.bodies.append(body)
+    instance.running += 1
+    instance.most_running = max(instance.most_running, instance.running)
+    try:
+        await _work(instance, reader)
+    finally:
+        instance.running -= 1
+    _answer(instance, call_id, writer)
+
+
+async def _work(instance: Instance, reader: asyncio.StreamReader) -> None:
+    """Work, and stop where the connection is closed meanwhile."""
+    delay_s = 3600.0 if instance.fault == "silent" else instance.work_s
+    if not delay_s:
+        return
+    closed = asyncio.ensure_future(reader.read(1))
+    done, _ = await asyncio.wait({closed}, timeout=delay_s)
+    if done:
+        instance.broken_off += 1
+        raise ConnectionResetError
+    closed.cancel()
+    await asyncio.wait({closed})
+
+
+def _answer(instance: Instance, call_id: str, writer: asyncio.StreamWriter) -> None:
+    headers = {"X-Attempt-Id": call_id, "X-Server-Seal": f"seal.{instance.instance}"}
+    body = body_of(call_id)
+    fault = instance.fault
+    if fault == "error":
+        _write(writer, 500, headers, b"failed")
+    elif fault == "reset":
+        writer.transport.abort()
+        raise ConnectionResetError
+    elif fault == "early_end":
+        head = _head(200, {**headers, "Content-Length": str(len(body))})
+        writer.write(head + body[:40])
+        raise ConnectionResetError
+    elif fault == "garbage":
+        writer.write(b"\x00\x01not an answer\r\n\r\n")
+    elif fault == "no_seal":
+        _write(writer, 200, {"X-Attempt-Id": call_id}, body)
+    else:
+        _write(writer, 200, headers, body)
+        if fault == "extra":
+            _write(writer, 200, headers, b"again")
+        elif fault == "late_extra":
+            asyncio.get_running_loop().call_later(
+                0.02, lambda: _write(writer, 200, headers, b"again")
+            )
+
+
+def _head(status: int, headers: dict[str, str]) -> bytes:
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _write(
+    writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes
+) -> None:
+    if writer.is_closing():
+        return
+    writer.write(_head(status, {**headers, "Content-Length": str(len(body))}) + body)
--- /dev/null
+++ b/tests/mesh/fleet.py
@@ -0,0 +1,250 @@
+"""A small deployed fleet on loopback: real nodes, a stand-in store, stand-in instances.
+
+The nodes run in the test's own process; a node is killed by closing its sockets and
+cancelling its tasks, so that nothing that it held is told to anybody.
+"""
+
+import asyncio
+import contextlib
+import json
+import socket
+
+import aiohttp
+import attrs
+import yarl
+
+from agaterelay.adapters.clock import SystemClock
+from agaterelay.core.deployment import Bounds, Deployment, StoreSettings
+from agaterelay.deployed import build, servers_of
+from agaterelay.mesh.links import follow_members, start_links
+from agaterelay.mesh.node import start_tasks
+from agaterelay.mesh.servers import Listening, listen
+from agaterelay.platform.store import StoreClient
+from standins.instance import Instance, announce, start_instance, stop_instance
+from standins.store import StandInStore, put_row, start_store
+
+PATIENCE_S = 5.0
+
+
+class Sink:
+    """A log that nobody reads."""
+
+    dropped = 0
+
+
+def free_address():
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def until(condition, patience_s=PATIENCE_S):
+    """Wait until a condition holds; fail where it does not in time."""
+    async with asyncio.timeout(patience_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def config(version, routes, services=("desk", "panel")):
+    """Return a configuration as the operator writes it."""
+    columns = ["name", "host", "prefix", "kind", "timeout", "targetLatency"]
+    columns += ["priority", "service", "maxAttempts", "weightedClusters"]
+    return json.dumps(
+        {
+            "version": f"{version:08x}",
+            "routes": {"columns": columns, "rows": routes},
+            "services": {
+                "columns": ["name", "healthPath", "maxConnections", "protocol", "tls"],
+                "rows": [[name, "/healthz", 130, "h1", False] for name in services],
+            },
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 1048576,
+                "headerTimeout": "3000ms",
+                "idleTimeout": "15000ms",
+            },
+        }
+    ).encode()
+
+
+def route(prefix="/read/", service="desk", kind="idempotent", **changes):
+    """Return a row of the routes."""
+    fields = {
+        "name": f"r{prefix.strip('/')}",
+        "host": "app.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout": "1500ms",
+        "targetLatency": "500ms",
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "weightedClusters": None,
+        **changes,
+    }
+    return list(fields.values())
+
+
+ROUTES = [route("/read/"), route("/fire/", kind="non_idempotent")]
+
+
+@attrs.define
+class Host:
+    """One host: its node and its instance."""
+
+    deployment: Deployment
+    instance: Instance
+    node: object = None
+    tasks: list = attrs.field(factory=list)
+    listening: Listening = attrs.field(factory=Listening)
+    store: StoreClient = None
+    inbound: list = attrs.field(factory=list)
+
+
+@attrs.define
+class Fleet:
+    """The hosts and the store."""
+
+    store: StandInStore = attrs.field(factory=StandInStore)
+    store_address: str = ""
+    store_runner: object = None
+    hosts: list[Host] = attrs.field(factory=list)
+    session: aiohttp.ClientSession = None
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(services=("desk", "desk"), routes=ROUTES, announced=True):
+    """Start a store with a configuration and a host for each service named."""
+    fleet = Fleet(store_address=free_address())
+    fleet.session = aiohttp.ClientSession()
+    fleet.store_runner = await start_store(fleet.store, fleet.store_address)
+    await put_row(fleet.store, "op", "config", config(1, routes))
+    for service in services:
+        await add_host(fleet, service)
+    if announced:
+        for host in fleet.hosts:
+            assert await announce(host.instance, admin_of(host)) == 200
+        await until(lambda: all(sees_all(fleet, host) for host in fleet.hosts))
+    try:
+        yield fleet
+    finally:
+        for host in fleet.hosts:
+            await kill_node(host)
+            stop_instance(host.instance)
+        await fleet.session.close()
+        await fleet.store_runner.cleanup()
+
+
+def admin_of(host):
+    """Return where an instance announces itself."""
+    return host.deployment.announce_address
+
+
+def sees_all(fleet, host):
+    """Return whether a node is linked to all others and sees their instances."""
+    if host.node is None:
+        return True
+    state = host.node.state
+    running = [other for other in fleet.hosts if other.node is not None]
+    return (
+        state.table is not None
+        and sum(link.usable for link in host.node.links.links.values())
+        >= len(running) - 1
+        and sum(bool(member.upstreams) for member in state.members.values())
+        >= len(running) - 1
+    )
+
+
+async def add_host(fleet, service, zone="a", version="v1", **changes):
+    """Start a host with a node and an instance that has not announced itself."""
+    number = len(fleet.hosts)
+    instance = Instance(
+        instance=f"i-{number}",
+        service=service,
+        address=free_address(),
+        version=version,
+        zone=zone,
+        **changes,
+    )
+    await start_instance(instance)
+    deployment = Deployment(
+        name=f"host-{number}",
+        zone=zone,
+        link_address=free_address(),
+        calls_address=free_address(),
+        announce_address=free_address(),
+        ready_address=free_address(),
+        metrics_address=free_address(),
+        service=service,
+        upstream_address=instance.address,
+        store=StoreSettings(fleet.store_address),
+        bounds=Bounds(),
+        heartbeat_s=1.5,
+        first_start=True,
+    )
+    host = Host(deployment, instance)
+    fleet.hosts.append(host)
+    await start_node(host)
+    return host
+
+
+async def start_node(host):
+    """Start a host's node, as after a kill: it knows nothing of before."""
+    host.store = StoreClient(host.deployment.store.address)
+    await host.store.open()
+    host.node = build(host.deployment, SystemClock(), host.store)
+    await start_links(host.node.links)
+    host.listening = Listening()
+    for server, address in servers_of(host.node, Sink()):
+        await listen(host.listening, server, address)
+    host.tasks = start_tasks(host.node)
+    follow_members(host.node.links)
+
+
+async def restart_node(host):
+    """Kill a host's node and start it again on the same addresses."""
+    await kill_node(host)
+    host.deployment = attrs.evolve(host.deployment, first_start=False)
+    await start_node(host)
+
+
+async def kill_node(host):
+    """End a host's node as SIGKILL does: nobody is told anything."""
+    if host.node is None:
+        return
+    links = host.node.links
+    tasks = [*host.tasks, *(link.dialer for link in links.links.values())]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    links.server.close()
+    for link in links.links.values():
+        if link.connection is not None:
+            link.connection.abort()
+    for connection in {connection for connection, _ in links.running}:
+        connection.abort()
+    for connection in tuple(links.accepted):
+        connection.abort()
+    host.node.gate.pool.close()
+    for runner in host.listening.runners:
+        for handler in tuple(runner.server.connections):
+            handler.force_close()
+        await runner.cleanup()
+    await host.store.close()
+    host.node = None
+
+
+async def ask(fleet, host, path="/read/x", method="GET", wait_ms=1000, **options):
+    """Send a caller's request to a host; return status, headers and body."""
+    headers = {
+        "Host": "app.example",
+        "X-Request-Deadline": str(wait_ms),
+        **options.pop("headers", {}),
+    }
+    headers.setdefault("X-Attempt-Id", f"call-{len(fleet.store.calls)}-{id(headers)}")
+    url = yarl.URL(f"http://{host.deployment.calls_address}{path}", encoded=True)
+    async with fleet.session.request(
+        method, url, headers=headers, **options
+    ) as response:
+        return response.status, response.headers, await response.read()
--- /dev/null
+++ b/tests/mesh/test_restarts.py
@@ -0,0 +1,179 @@
+"""What a restarted node may do, with the store and without it."""
+
+import asyncio
+
+import msgpack
+
+from standins.instance import announce, withdraw
+from standins.store import forget_history, put_row, row_of
+from tests.mesh.fleet import (
+    ROUTES,
+    admin_of,
+    ask,
+    config,
+    restart_node,
+    route,
+    running_fleet,
+    until,
+)
+
+
+def test_a_killed_node_brings_no_leaving_instance_back():
+    async def play():
+        async with running_fleet() as fleet:
+            host = fleet.hosts[0]
+            late = host.instance.sequence
+            await announce(host.instance, admin_of(host), "draining")
+            ran = sum(host.instance.ran.values())
+            await restart_node(host)
+            # A word from before the leave that was held up on the way.
+            await announce(host.instance, admin_of(host), sequence=late)
+            await until(lambda: host.node.state.table is not None)
+            await asyncio.sleep(0.3)
+            for _ in range(10):
+                await ask(fleet, fleet.hosts[1])
+                await ask(fleet, host)
+            assert sum(host.instance.ran.values()) == ran
+
+    asyncio.run(play())
+
+
+def test_the_same_with_the_store_down_all_the_while():
+    async def play():
+        async with running_fleet() as fleet:
+            host = fleet.hosts[0]
+            late = host.instance.sequence
+            fleet.store.faults.down = True
+            assert await announce(host.instance, admin_of(host), "draining") == 200
+            ran = sum(host.instance.ran.values())
+            await restart_node(host)
+            await announce(host.instance, admin_of(host), sequence=late)
+            await until(lambda: host.node.state.table is not None)
+            await asyncio.sleep(0.3)
+            for _ in range(10):
+                await ask(fleet, fleet.hosts[1])
+                await ask(fleet, host)
+            assert sum(host.instance.ran.values()) == ran
+
+    asyncio.run(play())
+
+
+def test_a_restarted_node_is_told_everything_by_its_neighbours():
+    async def play():
+        async with running_fleet() as fleet:
+            host = fleet.hosts[0]
+            fleet.store.faults.down = True
+            await restart_node(host)
+            await until(lambda: host.node.state.table is not None)
+            await until(lambda: len(host.node.state.members) == 1)
+            assert (await ask(fleet, host))[0] == 200
+
+    asyncio.run(play())
+
+
+def test_a_node_that_knows_no_configuration_refuses_and_is_not_ready():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            host = fleet.hosts[0]
+            fleet.store.faults.down = True
+            await restart_node(host)
+            status, headers, _ = await ask(fleet, host)
+            assert status == 503
+            assert float(headers["Retry-After"]) > 0
+            url = f"http://{host.deployment.ready_address}/v1/ready"
+            async with fleet.session.get(url) as response:
+                assert response.status == 503
+
+    asyncio.run(play())
+
+
+def test_a_living_instance_is_admitted_again_soon_after_a_restart():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            host = fleet.hosts[0]
+            await restart_node(host)
+            await until(lambda: host.node.state.table is not None)
+            await announce(host.instance, admin_of(host))
+            await until(lambda: host.node.gate.line.state.value == "ready", 1.0)
+            assert (await ask(fleet, host))[0] == 200
+
+    asyncio.run(play())
+
+
+def test_a_withdrawn_instance_stays_away_and_its_successor_is_used():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            host = fleet.hosts[0]
+            await withdraw(host.instance, admin_of(host))
+            await announce(host.instance, admin_of(host))
+            assert (await ask(fleet, host))[0] == 503
+            host.instance.born_ms += 5_000
+            host.instance.sequence = 0
+            await announce(host.instance, admin_of(host))
+            assert (await ask(fleet, host))[0] == 200
+            # A word of the start before, held up until now.
+            await announce(
+                host.instance, admin_of(host), "draining", born=1_000, sequence=99
+            )
+            assert (await ask(fleet, host))[0] == 200
+
+    asyncio.run(play())
+
+
+def test_changes_come_by_the_feed_and_by_links_where_it_is_deaf():
+    async def play():
+        async with running_fleet() as fleet:
+            first, second = fleet.hosts
+            routes = [*ROUTES, route("/new/")]
+            await put_row(fleet.store, "op", "config", config(2, routes))
+            await until(lambda: first.node.state.table.revision == 2, 1.0)
+            fleet.store.faults.deaf = True
+            await put_row(fleet.store, "op", "config", config(3, routes))
+            # Only one node reads the row; the other hears of it from that one.
+            forget_history(fleet.store)
+            fleet.store.faults.deaf = False
+            await until(lambda: second.node.state.table.revision == 3, 2.0)
+            await until(lambda: first.node.state.table.revision == 3, 2.0)
+
+    asyncio.run(play())
+
+
+def test_an_older_configuration_never_comes_back():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            host = fleet.hosts[0]
+            await put_row(fleet.store, "op", "config", config(5, ROUTES))
+            await until(lambda: host.node.state.table.revision == 5)
+            await put_row(fleet.store, "op", "config", config(4, [route("/old/")]))
+            await asyncio.sleep(0.2)
+            assert host.node.state.table.revision == 5
+            await put_row(fleet.store, "op", "config", b"{}")
+            await asyncio.sleep(0.2)
+            assert host.node.state.table.revision == 5
+
+    asyncio.run(play())
+
+
+def test_a_write_that_is_performed_late_does_not_undo_a_newer_one():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            host = fleet.hosts[0]
+            key = f"member/{host.deployment.link_address}"
+            await until(lambda: row_of(fleet.store, "agaterelay", key) is not None)
+            fleet.store.faults.late_s = 0.8
+            await announce(host.instance, admin_of(host), "draining")
+            fleet.store.faults.late_s = 0.0
+            host.instance.born_ms += 5_000
+            await announce(host.instance, admin_of(host))
+
+            def stored_start():
+                value = row_of(fleet.store, "agaterelay", key)
+                upstreams = msgpack.unpackb(value)[5]
+                return upstreams[0][-1] if upstreams else None
+
+            await until(lambda: stored_start() == host.instance.born_ms)
+            stands = row_of(fleet.store, "agaterelay", key)
+            await asyncio.sleep(1.2)
+            assert row_of(fleet.store, "agaterelay", key) == stands
+
+    asyncio.run(play())
