Refuse requests that come late in a stop, and answer all before the process ends

Ruled out: a crash (the end was planned) and aiohttp's keep-alive (the request had been read). Change: from 3.2 s on requests are refused, and what is in flight at the end is answered.

--- a/agaterelay/mesh/entry.py
+++ b/agaterelay/mesh/entry.py
@@ -86,6 +86,8 @@
     routes: dict[str, tuple[Route, ...]] = attrs.field(factory=dict)
     routes_of: RouteTable | None = None
     in_flight: int = 0
+    ending: bool = False
+    limits: set[asyncio.Timeout] = attrs.field(factory=set)
     good: int = 0
     count_end: Callable[[str, str, float], None] = lambda route, outcome, elapsed_s: (
         None
@@ -270,7 +272,7 @@
     """Return whether another try may be made, and take it from the budget."""
     now_s = entry.context.clock.monotonic_s()
     left_s = journey.deadline_s - now_s
-    if left_s < REPEAT_NEEDS_PART * ran.report.work_ms / 1000:
+    if entry.ending or left_s < REPEAT_NEEDS_PART * ran.report.work_ms / 1000:
         return False
     if journey.placements >= MAX_PLACEMENTS:
         return False
@@ -324,14 +326,19 @@
     )
     now_s = entry.context.clock.monotonic_s()
     load = load_of(entry.links, member.host)
+    limit: asyncio.Timeout | None = None
     try:
-        async with asyncio.timeout(journey.deadline_s - now_s + GATE_MARGIN_S):
+        async with asyncio.timeout(journey.deadline_s - now_s + GATE_MARGIN_S) as limit:
+            entry.limits.add(limit)
             ran = await send_call(entry.links, member.host, call)
     except LinkDownError:
         return None
     except TimeoutError:
-        outcome = Unknown("no answer before the deadline")
-        ran = Ran(outcome, True, load.report or _NO_REPORT)
+        reason = "the node is stopping" if entry.ending else "no answer in time"
+        ran = Ran(Unknown(reason), True, load.report or _NO_REPORT)
+    finally:
+        if limit is not None:
+            entry.limits.discard(limit)
     if not isinstance(ran.outcome, Answered):
         entry.context.record(
             EventKind.CALL_TRY_ENDED,
@@ -435,6 +442,14 @@
         entry.context.record(EventKind.CALL_UNKNOWN, reason=outcome.reason, **fields)
 
 
+def give_up_rest(entry: Entry) -> None:
+    """Answer all requests that are still in flight, because the process ends."""
+    entry.ending = True
+    now_s = asyncio.get_running_loop().time()
+    for limit in tuple(entry.limits):
+        limit.reschedule(now_s)
+
+
 def follow_fleet_size(entry: Entry, slack: float) -> None:
     """Share the budget's slack between the nodes that are known."""
     share_slack(entry.budget, slack, len(entry.state.members) + 1)
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -17,7 +17,14 @@
 from agaterelay.core.retry_budget import budget_of
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
-from agaterelay.mesh.entry import Entry, Request, follow_fleet_size, serve
+from agaterelay.core.outcome import NotRun
+from agaterelay.mesh.entry import (
+    Entry,
+    Request,
+    follow_fleet_size,
+    give_up_rest,
+    serve,
+)
 from agaterelay.mesh.gate import Gate, follow_line
 from agaterelay.mesh.links import Links, follow_members, start_links, watch_links
 from agaterelay.mesh.meters import Meters
@@ -40,11 +47,13 @@
 
 RESTART_DELAY_S = 0.2
 # Callers are told by the platform, which asks once a second and waits for two misses.
+# A request that comes later is refused, so that all that was taken can end in time.
 MIN_STOP_S = 3.2
-# A stopping node that got no request for this long has no callers left.
-STOP_QUIET_S = 0.7
 # Kept of the grace period for closing what is open.
-STOP_MARGIN_S = 0.6
+STOP_MARGIN_S = 0.5
+# Requests still in flight then are answered before the process ends.
+LAST_ANSWERS_S = 0.15
+CLOSING_RETRY_S = 0.2
 STOP_POLL_S = 0.05
 UPKEEP_PERIOD_S = 1.0
 
@@ -61,7 +70,7 @@
     entry: Entry
     mover: Mover
     meters: Meters
-    last_request_s: float = 0.0
+    closing: bool = False
 
 
 def own_member(deployment: Deployment, incarnation: int) -> Member:
@@ -94,7 +103,11 @@
     node: Node, request: web.BaseRequest, make_request: Callable[..., Request]
 ) -> web.StreamResponse:
     """Serve one request of a caller."""
-    node.last_request_s = node.context.clock.monotonic_s()
+    if node.closing:
+        # The body is not read: the connection ends with this answer.
+        response = response_of(NotRun("the node is stopping", CLOSING_RETRY_S))
+        response.force_close()
+        return response
     table = node.state.table
     max_bytes = table.limits.max_body_bytes if table else 1 << 20
     body = await read_whole(request, max_bytes)
@@ -198,7 +211,11 @@
 
 
 async def stop_gracefully(node: Node) -> None:
-    """Take no new work, let callers move on, and finish what is in flight."""
+    """Take no new work, let callers move on, and finish what is in flight.
+
+    Requests are served on until callers have had the time to move; later ones are
+    refused, and the process ends as soon as nothing is in flight.
+    """
     clock = node.context.clock
     began_s = clock.monotonic_s()
     node.state.stopping = True
@@ -213,10 +230,11 @@
     last_s = node.context.deployment.bounds.grace_s - STOP_MARGIN_S
     while True:
         await clock.sleep(STOP_POLL_S)
-        now_s = clock.monotonic_s()
-        quiet = now_s - node.last_request_s >= STOP_QUIET_S
-        busy = node.entry.in_flight or node.gate.in_flight
-        if now_s - began_s >= last_s:
-            return
-        if now_s - began_s >= MIN_STOP_S and quiet and not busy:
-            return
+        elapsed_s = clock.monotonic_s() - began_s
+        node.closing = elapsed_s >= MIN_STOP_S
+        if elapsed_s >= last_s:
+            break
+        if node.closing and not node.entry.in_flight and not node.gate.in_flight:
+            break
+    give_up_rest(node.entry)
+    await clock.sleep(LAST_ANSWERS_S)
--- /dev/null
+++ b/tests/mesh/test_stopping.py
@@ -0,0 +1,51 @@
+"""A planned stop cuts nothing, and ends within its time."""
+
+import asyncio
+
+import attrs
+
+from agaterelay.core.deployment import Bounds
+from agaterelay.mesh.node import stop_gracefully
+from standins.instance import body_of
+from tests.mesh.fleet import ask, running_fleet, until
+
+
+def test_what_is_in_flight_ends_well_and_late_requests_are_refused(monkeypatch):
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            host = fleet.hosts[0]
+            host.instance.work_s = 0.8
+            monkeypatch.setattr("agaterelay.mesh.node.MIN_STOP_S", 0.3)
+            early = asyncio.create_task(
+                ask(fleet, host, headers={"X-Attempt-Id": "early"})
+            )
+            await until(lambda: host.instance.running == 1)
+            stopping = asyncio.create_task(stop_gracefully(host.node))
+            await asyncio.sleep(0.4)
+            status, headers, _ = await ask(fleet, host)
+            assert status == 503
+            assert float(headers["Retry-After"]) > 0
+            assert headers["Connection"] == "close"
+            status, _, body = await early
+            assert (status, body) == (200, body_of("early"))
+            await asyncio.wait_for(stopping, 1.0)
+
+    asyncio.run(play())
+
+
+def test_what_cannot_end_in_time_is_answered_before_the_process_ends():
+    async def play():
+        async with running_fleet(("desk", "panel")) as fleet:
+            desk, panel = fleet.hosts
+            desk.instance.fault = "silent"
+            node = panel.node
+            bounds = Bounds(grace_s=0.9)
+            deployment = attrs.evolve(node.context.deployment, bounds=bounds)
+            node.context = attrs.evolve(node.context, deployment=deployment)
+            waiting = asyncio.create_task(ask(fleet, panel, "/fire/x", "POST"))
+            await until(lambda: desk.instance.running == 1)
+            await stop_gracefully(node)
+            assert waiting.done()
+            assert waiting.result()[0] == 502
+
+    asyncio.run(play())
