--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -14,10 +14,10 @@
 from agaterelay.core.announcement import UpstreamState
 from agaterelay.core.deployment import Deployment
 from agaterelay.core.membership import Member
+from agaterelay.core.outcome import NotRun
 from agaterelay.core.retry_budget import budget_of
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
-from agaterelay.core.outcome import NotRun
 from agaterelay.mesh.entry import (
     Entry,
     Request,
