--- a/agaterelay/adapters/log.py
+++ b/agaterelay/adapters/log.py
@@ -28,6 +28,7 @@
     EventKind.CALL_REPEATED: 20,
     EventKind.BUDGET_SPENT: 10,
     EventKind.CALL_ENDED: 20,
+    EventKind.CALL_RAN: 10,
     EventKind.LIBRARY_WARNING: 20,
 }
 
--- a/agaterelay/core/placing.py
+++ b/agaterelay/core/placing.py
@@ -1,9 +1,10 @@
 """Place calls on the upstreams of a service by what answers reported of their load.
 
 This answers the load of many callers on few upstreams that differ in speed: every
-answer from a gate carries how many calls are in its slots and its queue, how long a
-call takes there and how many failed. Between two reports a node counts its own calls.
-An upstream in another availability zone costs a delay and bytes, so that it is chosen
+answer from a gate carries how many calls are in its slots and its queue, how long one
+takes there and how many failed. Between two reports a node counts its own calls. How
+fast an upstream is, is learned route by route against the others: the mean time of its
+calls alone says more about which routes it got than about its speed. An upstream in another availability zone costs a delay and bytes, so that it is chosen
 only when the own zone is worse by more than that.
 """
 
@@ -26,8 +27,10 @@
 FIRST_WORK_MS = 60.0
 # Differences below this are noise; chance decides between such upstreams.
 NOISE_MS = 3.0
-# A cold upstream takes about twice as long.
-COLD_FACTOR = 2.0
+ROUTE_SMOOTHING = 0.03
+SPEED_SMOOTHING = 0.08
+# One call says little: an outlier counts as this much slower at most.
+MAX_SLOWNESS = 8.0
 
 Target = TypeVar("Target")
 
@@ -48,13 +51,21 @@
 
 @attrs.define
 class TargetLoad:
-    """What one node knows of the load of one upstream."""
+    """What one node knows of one upstream.
+
+    ``own`` counts this node's calls there, ``others`` those of all other nodes as last
+    reported. ``slowness`` is how long a call takes against the mean of its route.
+    """
 
     report: LoadReport | None = None
     others: float = 0.0
     reported_s: float = 0.0
     own: int = 0
-    warm_s: float = 0.0
+    slowness: float = 1.0
+
+
+# The mean time of a call of each route over all upstreams, in milliseconds.
+RouteTimes = dict[str, float]
 
 
 def note_report(load: TargetLoad, report: LoadReport, now_s: float) -> None:
@@ -64,19 +75,40 @@
     load.reported_s = now_s
 
 
-def expected_ms(load: TargetLoad, slots: int, same_zone: bool, now_s: float) -> float:
-    """Return what one more call would cost on an upstream, in milliseconds."""
+def note_time(times: RouteTimes, load: TargetLoad, route: str, ran_ms: float) -> None:
+    """Learn from how long a call took in its slot."""
+    mean_ms = times.get(route)
+    if mean_ms is None:
+        times[route] = ran_ms
+        return
+    times[route] = mean_ms + ROUTE_SMOOTHING * (ran_ms - mean_ms)
+    ratio = min(ran_ms / max(mean_ms, 0.1), MAX_SLOWNESS)
+    load.slowness += SPEED_SMOOTHING * (ratio - load.slowness)
+
+
+def expected_ms(
+    load: TargetLoad, slots: int, route_ms: float, same_zone: bool, now_s: float
+) -> float:
+    """Return what one more call would cost on an upstream, in milliseconds.
+
+    Args:
+        load: What is known of the upstream.
+        slots: Its slots.
+        route_ms: The mean time of the route's calls.
+        same_zone: Whether it is in the caller's availability zone.
+        now_s: The present time.
+    """
     report = load.report
-    work_ms = report.work_ms if report else FIRST_WORK_MS
-    if now_s < load.warm_s:
-        work_ms *= COLD_FACTOR
+    work_ms = route_ms * load.slowness
     age_s = now_s - load.reported_s
     others = load.others * 0.5 ** (age_s / REPORT_HALF_LIFE_S) if load.others else 0.0
     in_flight = load.own + others
     slots = max(slots, 1)
     used = min(in_flight / slots, 1.0)
     waiting = max(in_flight + 1 - slots, 0.0)
-    cost_ms = work_ms * (1 + CROWDING * used * used + waiting / slots)
+    cost_ms = work_ms * (1 + CROWDING * used * used)
+    turn_ms = report.work_ms if report else FIRST_WORK_MS
+    cost_ms += waiting / slots * turn_ms
     if report:
         cost_ms += report.failing * FAILURE_COST_MS
     return cost_ms if same_zone else cost_ms + ZONE_PENALTY_MS
--- a/agaterelay/mesh/entry.py
+++ b/agaterelay/mesh/entry.py
@@ -19,7 +19,15 @@
 from agaterelay.core.membership import Member, UpstreamInfo
 from agaterelay.core.model import Route, RouteTable
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
-from agaterelay.core.placing import LoadReport, TargetLoad, cheapest, expected_ms
+from agaterelay.core.placing import (
+    FIRST_WORK_MS,
+    LoadReport,
+    RouteTimes,
+    TargetLoad,
+    cheapest,
+    expected_ms,
+    note_time,
+)
 from agaterelay.core.rendezvous import rank
 from agaterelay.core.retry_budget import RetryBudget, earn, share_slack, spend
 from agaterelay.core.trial import should_brake, trial_share
@@ -86,6 +94,8 @@
     routes: dict[str, tuple[Route, ...]] = attrs.field(factory=dict)
     routes_of: RouteTable | None = None
     in_flight: int = 0
+    route_times: RouteTimes = attrs.field(factory=dict)
+    full_wait_ms: dict[str, int] = attrs.field(factory=dict)
     ending: bool = False
     limits: set[asyncio.Timeout] = attrs.field(factory=set)
     good: int = 0
@@ -106,6 +116,7 @@
     tried: set[str] = attrs.field(factory=set)
     arrivals: int = 0
     placements: int = 0
+    target_s: float = 0.0
     last: Outcome | None = None
     retry_after_s: float | None = None
 
@@ -128,6 +139,21 @@
     return None
 
 
+def target_left_s(entry: Entry, route: Route, wait_ms: int | None) -> float:
+    """Return the time in which an answer is of full use to the caller.
+
+    A caller that comes back after a refusal has less time left than it had at first,
+    and by as much less for the target.
+    """
+    left_ms = float(route.target_latency_ms)
+    if wait_ms is None:
+        return left_ms / 1000
+    full_ms = entry.full_wait_ms.get(route.name, 0)
+    if wait_ms > full_ms:
+        full_ms = entry.full_wait_ms[route.name] = wait_ms
+    return (left_ms - (full_ms - wait_ms)) / 1000
+
+
 def choose_service(entry: Entry, route: Route) -> str:
     """Return the service of the next call on a route."""
     if not route.parts:
@@ -182,10 +208,13 @@
         first = rank([member.host for member in members], version)[0]
         members = [member for member in members if member.host == first]
 
+    route_ms = entry.route_times.get(journey.route.name, FIRST_WORK_MS)
+
     def cost_ms(member: Member) -> float:
         return expected_ms(
             load_of(entry.links, member.host),
             member.upstreams[0].slots,
+            route_ms,
             member.zone == own.zone,
             now_s,
         )
@@ -208,6 +237,7 @@
         wait_s = min(wait_s, request.wait_ms / 1000)
     service = choose_service(entry, route)
     journey = Journey(request, route, service, started_s, started_s + wait_s)
+    journey.target_s = started_s + target_left_s(entry, route, request.wait_ms)
     earn(entry.budget, service)
     entry.in_flight += 1
     try:
@@ -321,7 +351,7 @@
         idempotent=route.idempotent,
         rank=route.rank,
         deadline_s=journey.deadline_s,
-        target_s=journey.started_s + route.target_latency_ms / 1000,
+        target_s=journey.target_s,
         repeat=journey.arrivals > 0,
     )
     now_s = entry.context.clock.monotonic_s()
@@ -339,6 +369,8 @@
     finally:
         if limit is not None:
             entry.limits.discard(limit)
+    if ran.ran_ms:
+        note_time(entry.route_times, load, route.name, ran.ran_ms)
     if not isinstance(ran.outcome, Answered):
         entry.context.record(
             EventKind.CALL_TRY_ENDED,
--- a/agaterelay/mesh/gate.py
+++ b/agaterelay/mesh/gate.py
@@ -30,7 +30,6 @@
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
 from agaterelay.core.slot_queue import (
-    WAIT_PART,
     Queued,
     Refused,
     SlotQueue,
@@ -39,8 +38,11 @@
     failing_share,
     grant_waiting,
     leave,
-    note_ran,
+    longest_wait_s,
+    make_ticket,
+    note_end,
     note_shed,
+    note_work,
     release,
     return_s,
 )
@@ -55,17 +57,24 @@
 DEADLINE_MARGIN_S = 0.005
 # Where a refused call may go at once: another upstream has room, or will soon.
 DRAINING_RETRY_S = 0.1
+# One in so many good calls is logged.
+GOOD_SAMPLE = 50
 # An announcement is confirmed within a second; the probe has to fit into that.
 PROBE_TIMEOUT_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class Ran:
-    """How a call ended at the gate; ``arrived`` is whether the upstream got it."""
+    """How a call ended at the gate.
+
+    ``arrived`` is whether the upstream got it, ``ran_ms`` its time in the slot where it
+    went well, else 0.
+    """
 
     outcome: Outcome
     arrived: bool
     report: LoadReport
+    ran_ms: float = 0.0
 
 
 @attrs.frozen
@@ -96,6 +105,7 @@
         factory=lambda: deque(maxlen=TALLY_SECONDS)
     )
     in_flight: int = 0
+    ran: int = 0
     stopping: bool = False
     draw: random.Random = attrs.field(factory=random.Random)
 
@@ -154,17 +164,19 @@
         reason = "another instance is there"
     if reason is not None:
         return Ran(NotRun(reason, DRAINING_RETRY_S), False, report_load(gate))
+    came_s = gate.context.clock.monotonic_s()
     gate.in_flight += 1
     try:
         refusal = await _take_slot(gate, call)
         if refusal is not None:
             return Ran(refusal, False, report_load(gate))
         try:
-            outcome, arrived = await _run_in_slot(gate, call)
+            ran = await _run_in_slot(gate, call, came_s)
         finally:
             release(gate.queue)
             _grant_next(gate)
-        return Ran(outcome, arrived, report_load(gate))
+        outcome, arrived, ran_ms = ran
+        return Ran(outcome, arrived, report_load(gate), ran_ms)
     finally:
         gate.in_flight -= 1
 
@@ -172,7 +184,9 @@
 async def _take_slot(gate: Gate, call: Call) -> NotRun | None:
     """Wait for a slot; return why there is none, None where the call has one."""
     now_s = gate.context.clock.monotonic_s()
-    ticket = Ticket(call.rank, call.target_s, call.deadline_s, call.call_id)
+    ticket = make_ticket(
+        gate.queue, call.route, call.rank, call.target_s, call.deadline_s, now_s
+    )
     answer = ask(gate.queue, ticket, now_s, gate.draw)
     if isinstance(answer, Refused):
         return NotRun(answer.reason, answer.retry_after_s)
@@ -183,10 +197,9 @@
         _settle(gate, answer.evicted, NotRun("a call of higher rank came", retry_s))
     future: asyncio.Future[Outcome | None] = asyncio.get_running_loop().create_future()
     gate.granted[ticket] = future
-    longest_s = max(WAIT_PART * (call.target_s - now_s), 0.0)
     taken = False
     try:
-        async with asyncio.timeout(longest_s):
+        async with asyncio.timeout(longest_wait_s(ticket, now_s)):
             refusal = await future
             taken = True
             return refusal
@@ -225,28 +238,34 @@
         _settle(gate, ticket, NotRun("its turn came too late", retry_s))
 
 
-async def _run_in_slot(gate: Gate, call: Call) -> tuple[Outcome, bool]:
-    """Run a call that has a slot; return how it ended and whether it was sent."""
+async def _run_in_slot(
+    gate: Gate, call: Call, came_s: float
+) -> tuple[Outcome, bool, float]:
+    """Run a call that has a slot.
+
+    Returns:
+        How it ended, whether it was sent, and its time in milliseconds if it went well.
+    """
     clock = gate.context.clock
     # The upstream may have begun to leave while the call waited.
     reason = admits(gate)
     if reason is not None:
-        return NotRun(reason, DRAINING_RETRY_S), False
+        return NotRun(reason, DRAINING_RETRY_S), False, 0.0
     started_s = clock.monotonic_s()
     try:
         connection = await gate.pool.take(started_s)
     except NotSentError as error:
-        note_ran(gate.queue, 0.0, True, clock.monotonic_s())
-        return NotRun(f"the upstream accepts no connection: {error}", 0.1), False
+        note_end(gate.queue, True, clock.monotonic_s())
+        return NotRun(f"the upstream accepts no connection: {error}", 0.1), False, 0.0
     reason = admits(gate)
     left_s = call.deadline_s - clock.monotonic_s()
     if reason is not None or left_s <= 0:
         gate.pool.give_back(connection, clock.monotonic_s())
-        return NotRun(reason or "its deadline passed", DRAINING_RETRY_S), False
+        return NotRun(reason or "its deadline passed", DRAINING_RETRY_S), False, 0.0
     try:
         answer = await _exchange(gate, connection, call, left_s)
     except NotSentError as error:
-        return NotRun(f"the connection closed before the call: {error}"), False
+        return NotRun(f"the connection closed before the call: {error}"), False, 0.0
     except AnswerLostError as error:
         outcome: Outcome = Unknown(f"the answer was lost: {error}")
     except TimeoutError:
@@ -256,8 +275,9 @@
             answer.status, answer.headers, answer.body, call.call_id
         )
     now_s = clock.monotonic_s()
-    _note(gate, call, outcome, now_s - started_s, now_s)
-    return outcome, True
+    _note(gate, call, outcome, started_s - came_s, now_s - started_s, now_s)
+    good = isinstance(outcome, Answered) and outcome.status < FIRST_FAILURE_STATUS
+    return outcome, True, round((now_s - started_s) * 1000, 1) if good else 0.0
 
 
 async def _exchange(
@@ -279,16 +299,23 @@
 
 
 def _note(
-    gate: Gate, call: Call, outcome: Outcome, elapsed_s: float, now_s: float
+    gate: Gate,
+    call: Call,
+    outcome: Outcome,
+    waited_s: float,
+    elapsed_s: float,
+    now_s: float,
 ) -> None:
     """Learn from how a call ended."""
     if isinstance(outcome, NotRun):
         note_shed(gate.queue, now_s)
-        note_ran(gate.queue, elapsed_s, True, now_s)
+        note_end(gate.queue, True, now_s)
         return
     failed = not isinstance(outcome, Answered)
     failed = failed or outcome.status >= FIRST_FAILURE_STATUS
-    note_ran(gate.queue, elapsed_s, failed, now_s)
+    note_end(gate.queue, failed, now_s)
+    if not failed:
+        note_work(gate.queue, call.route, elapsed_s)
     second = int(now_s)
     if not gate.tallies or gate.tallies[-1][0] != second:
         gate.tallies.append((second, {}))
@@ -299,14 +326,18 @@
     tallies[call.route] = count_call(
         tallies.get(call.route, Tally()), failed, latency_ms
     )
-    if failed:
+    gate.ran += 1
+    if failed or gate.ran % GOOD_SAMPLE == 0:
         gate.context.record(
-            EventKind.CALL_FAILED,
+            EventKind.CALL_FAILED if failed else EventKind.CALL_RAN,
             request_id=call.call_id,
             route=call.route,
             instance=call.instance,
             outcome=_describe(outcome),
-            elapsed_ms=round(elapsed_s * 1000),
+            waited_ms=round(waited_s * 1000),
+            ran_ms=round(elapsed_s * 1000),
+            in_use=gate.queue.in_use,
+            waiting=len(gate.queue.waiting),
         )
 
 
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -181,7 +181,7 @@
     link.connection = None
     link.usable = False
     link.lost_s = links.context.clock.monotonic_s()
-    link.load = TargetLoad(warm_s=link.load.warm_s)
+    link.load = TargetLoad()
     pending, link.pending = link.pending, {}
     links.context.record(
         EventKind.LINK_LOST, peer=link.host, reason=reason, waiting=len(pending)
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -62,12 +62,17 @@
 
 def ran_to_wire(ran: Ran) -> list[Any]:
     """Return how a call ended at a gate."""
-    return [_outcome_to_wire(ran.outcome), ran.arrived, attrs.astuple(ran.report)]
+    return [
+        _outcome_to_wire(ran.outcome),
+        ran.arrived,
+        attrs.astuple(ran.report),
+        ran.ran_ms,
+    ]
 
 
 def ran_from_wire(plain: list[Any]) -> Ran:
     """Return how a call ended at a gate."""
-    return Ran(_outcome_from_wire(plain[0]), plain[1], LoadReport(*plain[2]))
+    return Ran(_outcome_from_wire(plain[0]), plain[1], LoadReport(*plain[2]), plain[3])
 
 
 def _outcome_to_wire(outcome: Outcome) -> list[Any]:
