Queue only until the target can be met, and learn speed route by route

A gate that shed while nearly idle (grey failure) was cut to one slot. Ruled out: the network and the entry's own time (waits plus run times make the total).

--- a/agaterelay/core/placing.py
+++ b/agaterelay/core/placing.py
@@ -21,7 +21,11 @@
 # What a failed call costs its caller: about one more try and the wait for it.
 FAILURE_COST_MS = 900.0
 # How much slower a call is on an upstream whose slots are all taken.
-CROWDING = 0.35
+CROWDING = 0.6
+# Full weight would leave the slow ones idle while the fast ones are refusing.
+SPEED_WEIGHT = 0.5
+# A call that queues delays others too, and leaves a slot elsewhere idle meanwhile.
+QUEUE_FACTOR = 4.0
 # Reports of others' calls lose half of their weight in this time.
 REPORT_HALF_LIFE_S = 0.4
 FIRST_WORK_MS = 60.0
@@ -99,7 +103,7 @@
         now_s: The present time.
     """
     report = load.report
-    work_ms = route_ms * load.slowness
+    work_ms = route_ms * load.slowness**SPEED_WEIGHT
     age_s = now_s - load.reported_s
     others = load.others * 0.5 ** (age_s / REPORT_HALF_LIFE_S) if load.others else 0.0
     in_flight = load.own + others
@@ -108,7 +112,7 @@
     waiting = max(in_flight + 1 - slots, 0.0)
     cost_ms = work_ms * (1 + CROWDING * used * used)
     turn_ms = report.work_ms if report else FIRST_WORK_MS
-    cost_ms += waiting / slots * turn_ms
+    cost_ms += QUEUE_FACTOR * waiting / slots * turn_ms
     if report:
         cost_ms += report.failing * FAILURE_COST_MS
     return cost_ms if same_zone else cost_ms + ZONE_PENALTY_MS
--- a/agaterelay/core/slot_queue.py
+++ b/agaterelay/core/slot_queue.py
@@ -24,10 +24,10 @@
 # What is left of a deadline must cover this part of the usual work.
 NEEDED_PART = 0.6
 # Most calls of a route end within their mean time and this many mean deviations.
-DEVIATIONS = 1.0
+DEVIATIONS = 1.5
 # A call that cannot meet its target waits for this part of its time at most: it is of
 # less use to its caller, and takes only slots that nobody else waits for.
-LATE_WAIT_PART = 0.12
+LATE_WAIT_PART = 0.03
 # No queue is longer than this many rounds of the slots.
 MAX_ROUNDS = 2.0
 # The span over which those who were refused are asked to come back.
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,174 @@
+"""What the adapter takes from the platform's wire, good and bad."""
+
+import json
+
+import pytest
+
+from agaterelay.core.model import Finding, MoveState
+from agaterelay.core.outcome import Answered, NotRun, Unknown
+from agaterelay.platform.announcements import decode_announcement, decode_born_ms
+from agaterelay.platform.config import decode_config
+from agaterelay.platform.headers import answer_of, forwarded_headers
+from agaterelay.platform.orders import decode_order, encode_status
+from agaterelay.platform.settings import parse_deployment
+from agaterelay.platform.units import parse_seconds
+from agaterelay.ports import StoredRow
+from tests.mesh.fleet import config, route
+
+SETTINGS = {
+    "nodeName": "sidecar-a-1",
+    "ip": "10.1.0.38",
+    "zone": "a",
+    "bind": {
+        "inbound": "10.1.0.38:8146",
+        "outbound": "10.1.0.38:8147",
+        "ready": "10.1.0.38:8141",
+        "admin": "10.1.0.38:8144",
+    },
+    "bootstrap": True,
+    "heartbeat": "1500ms",
+    "bounds": {"drainTimeout": "2000ms", "grace": "6s", "retryBudgetSlack": 62},
+    "appAddr": "10.1.0.38:8145",
+    "service": "desk",
+    "platform": {"address": "10.200.1.7:8142"},
+    "somethingNew": {"a": 1},
+}
+WORD = {
+    "service": "desk",
+    "address": "10.1.0.38:8145",
+    "zone": "a",
+    "version": "v1",
+    "concurrency": 9,
+    "state": "ready",
+    "coldLeft": "2.5s",
+    "sequence": 4,
+    "born": 1000,
+}
+
+
+def test_settings_become_a_deployment():
+    deployment, findings = parse_deployment(json.dumps(SETTINGS), "boot.json")
+    assert not findings
+    assert deployment.heartbeat_s == 1.5
+    assert deployment.bounds.drain_s == 2.0
+    assert deployment.bounds.retry_slack == 62
+    assert deployment.first_start
+
+
+def test_all_findings_come_together():
+    broken = {**SETTINGS, "zone": 7, "heartbeat": "soon", "bind": {}}
+    deployment, findings = parse_deployment(json.dumps(broken), "boot.json")
+    assert deployment is None
+    texts = [str(finding) for finding in findings]
+    for path in ("zone", "heartbeat", "bind.inbound", "bind.admin"):
+        assert any(f"{path}:" in text for text in texts)
+    assert parse_deployment("{", "boot.json")[1][0].place.line == 1
+
+
+def test_a_configuration_is_decoded_whole():
+    parts = [{"service": "desk", "weight": 90}, {"service": "panel", "weight": 10}]
+    table = decode_config(
+        config(12, [route("/a/", None, weightedClusters=parts), route("/b/")])
+    )
+    assert table.revision == 12
+    split, plain = table.routes
+    assert split.parts == (("desk", 90), ("panel", 10))
+    assert (plain.service, plain.timeout_ms, plain.idempotent) == ("desk", 1500, True)
+    assert table.limits.idle_timeout_s == 15
+    assert table.health_paths["desk"] == "/healthz"
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b"[1]", b'{"version":"x"}', b"\xff"])
+def test_what_is_no_configuration_is_a_finding(value):
+    assert isinstance(decode_config(value), Finding)
+
+
+def test_an_announcement_is_decoded():
+    word = decode_announcement("i-1", json.dumps(WORD).encode())
+    assert (word.slots, word.warm_in_s, word.order) == (9, 2.5, (1000, 4))
+    assert decode_born_ms(b'{"born": 5}') == 5
+    assert decode_born_ms(b"") is None
+    assert decode_born_ms(b"\xff{") is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"sequence": "4"},
+        {"sequence": True},
+        {"service": 3},
+        {"concurrency": None},
+        {"born": 1.5},
+        {"coldLeft": 3},
+        {"version": ""},
+    ],
+)
+def test_an_announcement_of_another_writer_is_refused(change):
+    answer = decode_announcement("i-1", json.dumps({**WORD, **change}).encode())
+    assert isinstance(answer, str)
+
+
+def test_bytes_that_are_no_announcement_are_refused():
+    for body in (b"", b"[]", b"\xff\xfe", b"[" * 5000):
+        assert isinstance(decode_announcement("i-1", body), str)
+
+
+def answer(status=200, **headers):
+    named = {"x-attempt-id": "c", "x-server-seal": "s", **headers}
+    pairs = [
+        (name.replace("_", "-").encode(), value.encode())
+        for name, value in named.items()
+        if value
+    ]
+    return answer_of(status, tuple(pairs), b"body", "c")
+
+
+def test_only_a_sealed_answer_of_the_same_call_is_a_success():
+    assert isinstance(answer(), Answered)
+    assert isinstance(answer(**{"x-server-seal": ""}), Unknown)
+    assert isinstance(answer(**{"x-attempt-id": "d"}), Unknown)
+    assert isinstance(answer(**{"x-attempt-id": ""}), Unknown)
+    assert isinstance(answer(**{"content-encoding": "gzip"}), Unknown)
+    assert answer(500) == Answered(
+        500, (("x-attempt-id", "c"), ("x-server-seal", "s")), b"body"
+    )
+
+
+def test_not_run_is_said_only_where_the_upstream_says_so():
+    assert isinstance(answer(503, **{"x-not-executed": "1"}), NotRun)
+    assert isinstance(answer(421), NotRun)
+    assert isinstance(answer(503), Answered)
+
+
+def test_headers_of_one_connection_stay_there():
+    headers = [
+        (b"Host", b"app"),
+        (b"Connection", b"keep-alive, X-Mine"),
+        (b"X-Mine", b"1"),
+        (b"X-Caller-Service", b"forged"),
+        (b"X-Request-Deadline", b"5"),
+        (b"X-Attempt-Id", b"c"),
+        (b"Cookie", b"a=b"),
+    ]
+    kept = dict(forwarded_headers(headers))
+    assert kept == {b"Host": b"app", b"X-Attempt-Id": b"c", b"Cookie": b"a=b"}
+
+
+def test_orders_and_verdicts():
+    value = b'{"service":"desk","to":"v2","duration":"12s"}'
+    order = decode_order(StoredRow("op", "rollout/desk", value, 7))
+    assert (order.to_version, order.duration_s, order.number) == ("v2", 12.0, 7)
+    assert decode_order(StoredRow("op", "config", value, 7)) is None
+    assert decode_order(StoredRow("op", "rollout/desk", b"{", 7)) is None
+    states = [MoveState.STEPPING, MoveState.DONE, MoveState.REVERTED]
+    words = [json.loads(encode_status(state, "v2"))["state"] for state in states]
+    assert words == ["running", "completed", "rolled_back"]
+
+
+def test_times():
+    assert parse_seconds("1500ms") == 1.5
+    assert parse_seconds("2.5s") == 2.5
+    for text in ("", "5", "5m", "-1s", None, 5):
+        with pytest.raises(ValueError, match="not a time"):
+            parse_seconds(text)
