--- a/agaterelay/core/placing.py
+++ b/agaterelay/core/placing.py
@@ -16,16 +16,18 @@
 
 import attrs
 
-# What a call to another availability zone costs beside its time there.
-ZONE_PENALTY_MS = 14.0
+# What a call to another availability zone costs beside its time there: the way, and
+# the answer's bytes, which the users pay for and which their links have to carry.
+ZONE_PENALTY_MS = 6.0
+ZONE_PENALTY_MS_PER_KB = 6.0
 # What a failed call costs its caller: about one more try and the wait for it.
 FAILURE_COST_MS = 900.0
 # How much slower a call is on an upstream whose slots are all taken.
-CROWDING = 0.6
+CROWDING = 0.3
 # Full weight would leave the slow ones idle while the fast ones are refusing.
 SPEED_WEIGHT = 0.5
 # A call that queues delays others too, and leaves a slot elsewhere idle meanwhile.
-QUEUE_FACTOR = 4.0
+QUEUE_FACTOR = 8.0
 # Reports of others' calls lose half of their weight in this time.
 REPORT_HALF_LIFE_S = 0.4
 FIRST_WORK_MS = 60.0
@@ -68,8 +70,12 @@
     slowness: float = 1.0
 
 
-# The mean time of a call of each route over all upstreams, in milliseconds.
-RouteTimes = dict[str, float]
+@attrs.define
+class RouteCosts:
+    """The mean time and answer of a route's calls over all upstreams."""
+
+    work_ms: float = FIRST_WORK_MS
+    answer_bytes: float = 0.0
 
 
 def note_report(load: TargetLoad, report: LoadReport, now_s: float) -> None:
@@ -79,31 +85,35 @@
     load.reported_s = now_s
 
 
-def note_time(times: RouteTimes, load: TargetLoad, route: str, ran_ms: float) -> None:
-    """Learn from how long a call took in its slot."""
-    mean_ms = times.get(route)
-    if mean_ms is None:
-        times[route] = ran_ms
-        return
-    times[route] = mean_ms + ROUTE_SMOOTHING * (ran_ms - mean_ms)
-    ratio = min(ran_ms / max(mean_ms, 0.1), MAX_SLOWNESS)
+def note_answer(
+    route: RouteCosts, load: TargetLoad, ran_ms: float, answer_bytes: int
+) -> None:
+    """Learn from how long a call took in its slot, and from its answer's size."""
+    ratio = min(ran_ms / max(route.work_ms, 0.1), MAX_SLOWNESS)
     load.slowness += SPEED_SMOOTHING * (ratio - load.slowness)
+    route.work_ms += ROUTE_SMOOTHING * (ran_ms - route.work_ms)
+    route.answer_bytes += ROUTE_SMOOTHING * (answer_bytes - route.answer_bytes)
+
+
+def zone_penalty_ms(answer_bytes: float) -> float:
+    """Return what it costs to take a call to another availability zone."""
+    return ZONE_PENALTY_MS + ZONE_PENALTY_MS_PER_KB * answer_bytes / 1000
 
 
 def expected_ms(
-    load: TargetLoad, slots: int, route_ms: float, same_zone: bool, now_s: float
+    load: TargetLoad, slots: int, route: RouteCosts, same_zone: bool, now_s: float
 ) -> float:
     """Return what one more call would cost on an upstream, in milliseconds.
 
     Args:
         load: What is known of the upstream.
         slots: Its slots.
-        route_ms: The mean time of the route's calls.
+        route: What is known of the route's calls.
         same_zone: Whether it is in the caller's availability zone.
         now_s: The present time.
     """
     report = load.report
-    work_ms = route_ms * load.slowness**SPEED_WEIGHT
+    work_ms = route.work_ms * load.slowness**SPEED_WEIGHT
     age_s = now_s - load.reported_s
     others = load.others * 0.5 ** (age_s / REPORT_HALF_LIFE_S) if load.others else 0.0
     in_flight = load.own + others
@@ -115,7 +125,7 @@
     cost_ms += QUEUE_FACTOR * waiting / slots * turn_ms
     if report:
         cost_ms += report.failing * FAILURE_COST_MS
-    return cost_ms if same_zone else cost_ms + ZONE_PENALTY_MS
+    return cost_ms if same_zone else cost_ms + zone_penalty_ms(route.answer_bytes)
 
 
 def cheapest(
--- a/agaterelay/mesh/entry.py
+++ b/agaterelay/mesh/entry.py
@@ -20,13 +20,12 @@
 from agaterelay.core.model import Route, RouteTable
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import (
-    FIRST_WORK_MS,
     LoadReport,
-    RouteTimes,
+    RouteCosts,
     TargetLoad,
     cheapest,
     expected_ms,
-    note_time,
+    note_answer,
 )
 from agaterelay.core.rendezvous import rank
 from agaterelay.core.retry_budget import RetryBudget, earn, share_slack, spend
@@ -94,7 +93,7 @@
     routes: dict[str, tuple[Route, ...]] = attrs.field(factory=dict)
     routes_of: RouteTable | None = None
     in_flight: int = 0
-    route_times: RouteTimes = attrs.field(factory=dict)
+    route_costs: dict[str, RouteCosts] = attrs.field(factory=dict)
     full_wait_ms: dict[str, int] = attrs.field(factory=dict)
     ending: bool = False
     limits: set[asyncio.Timeout] = attrs.field(factory=set)
@@ -208,13 +207,13 @@
         first = rank([member.host for member in members], version)[0]
         members = [member for member in members if member.host == first]
 
-    route_ms = entry.route_times.get(journey.route.name, FIRST_WORK_MS)
+    route = entry.route_costs.setdefault(journey.route.name, RouteCosts())
 
     def cost_ms(member: Member) -> float:
         return expected_ms(
             load_of(entry.links, member.host),
             member.upstreams[0].slots,
-            route_ms,
+            route,
             member.zone == own.zone,
             now_s,
         )
@@ -369,8 +368,9 @@
     finally:
         if limit is not None:
             entry.limits.discard(limit)
-    if ran.ran_ms:
-        note_time(entry.route_times, load, route.name, ran.ran_ms)
+    if ran.ran_ms and isinstance(ran.outcome, Answered):
+        costs = entry.route_costs[route.name]
+        note_answer(costs, load, ran.ran_ms, len(ran.outcome.body))
     if not isinstance(ran.outcome, Answered):
         entry.context.record(
             EventKind.CALL_TRY_ENDED,
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -19,14 +19,13 @@
 
 from agaterelay.core import slot_queue
 from agaterelay.core.placing import (
-    FIRST_WORK_MS,
     LoadReport,
-    RouteTimes,
+    RouteCosts,
     TargetLoad,
     cheapest,
     expected_ms,
+    note_answer,
     note_report,
-    note_time,
 )
 from agaterelay.core.slot_queue import Granted, Queued, Refused, SlotQueue, Ticket
 
@@ -47,6 +46,7 @@
     rank: int
     worth: float
     late_worth: float
+    answer_bytes: int = 0
     unsafe: bool = False
 
 
@@ -79,7 +79,7 @@
 
     zone: int
     loads: list[TargetLoad]
-    times: RouteTimes = attrs.field(factory=dict)
+    costs: dict[str, RouteCosts] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -112,6 +112,7 @@
     worth: float = 0.0
     owed: float = 0.0
     busy_s: float = 0.0
+    crossed_bytes: int = 0
 
     @property
     def earned(self) -> float:
@@ -130,13 +131,13 @@
     draw: random.Random,
 ) -> int | None:
     """Choose as the node does."""
-    route_ms = entry.times.get(journey.kind.name, FIRST_WORK_MS)
+    route = entry.costs.setdefault(journey.kind.name, RouteCosts())
     return cheapest(
         [index for index in range(len(gates)) if index not in journey.tried],
         lambda index: expected_ms(
             entry.loads[index],
             gates[index].queue.slots,
-            route_ms,
+            route,
             gates[index].zone == entry.zone,
             now_s,
         ),
@@ -270,6 +271,8 @@
     work_s = kind.work_s / gate.speed
     work_s *= run.draw.lognormvariate(-spread * spread / 2, spread)
     run.result.busy_s += work_s
+    if gate.zone != run.entries[attempt.journey.entry].zone:
+        run.result.crossed_bytes += kind.answer_bytes
     _after(run, work_s, lambda: _finish(run, attempt, work_s))
 
 
@@ -303,7 +306,8 @@
         load.own -= 1
         note_report(load, report, run.now_s)
         if ran_ms:
-            note_time(entry.times, load, attempt.journey.kind.name, ran_ms)
+            route = entry.costs.setdefault(attempt.journey.kind.name, RouteCosts())
+            note_answer(route, load, ran_ms, attempt.journey.kind.answer_bytes)
 
     _after(run, _hop_s(run, attempt), hear)
 
@@ -340,8 +344,8 @@
 
 DESK = Scene(
     kinds=(
-        Kind("read", 377, 0.085, 0.5, 0.2, 0.8, 2, 1, 0.3),
-        Kind("fire", 189, 0.078, 0.3, 0.25, 1.0, 1, 2, 0.6, unsafe=True),
+        Kind("read", 377, 0.085, 0.5, 0.2, 0.8, 2, 1, 0.3, 5000),
+        Kind("fire", 189, 0.078, 0.3, 0.25, 1.0, 1, 2, 0.6, 1500, unsafe=True),
     ),
     speeds=(0.5, 1.0, 1.0, 1.5, 1.0),
     slots=12,
@@ -375,7 +379,11 @@
                 for (kind, outcome), count in sorted(result.ends.items())
             )
             busy = result.busy_s / scene.length_s / scene.slots / len(scene.speeds)
-            print(f"  {name:18} earned {result.earned:.3f} busy {busy:.2f} | {ends}")
+            crossed_mb = result.crossed_bytes / 1e6
+            print(
+                f"  {name:18} earned {result.earned:.3f} busy {busy:.2f} "
+                f"between zones {crossed_mb:.1f} MB | {ends}"
+            )
 
 
 if __name__ == "__main__":
--- a/tests/core/test_placing.py
+++ b/tests/core/test_placing.py
@@ -4,11 +4,12 @@
 
 from agaterelay.core.placing import (
     LoadReport,
+    RouteCosts,
     TargetLoad,
     cheapest,
     expected_ms,
+    note_answer,
     note_report,
-    note_time,
 )
 from agaterelay.core.retry_budget import budget_of, earn, spend
 from agaterelay.core.weighted import next_part, spread_from
@@ -20,8 +21,8 @@
     return made
 
 
-def cost(made, same_zone=True, now_s=0.0):
-    return expected_ms(made, 10, 60.0, same_zone, now_s)
+def cost(made, same_zone=True, now_s=0.0, answer_bytes=1000):
+    return expected_ms(made, 10, RouteCosts(60.0, answer_bytes), same_zone, now_s)
 
 
 def test_the_own_zone_comes_first_until_it_is_full():
@@ -30,6 +31,12 @@
     assert cost(load(12)) > cost(load(2), same_zone=False)
 
 
+def test_large_answers_stay_in_their_zone_longer_than_small_ones():
+    busy, idle = load(8), load(0)
+    assert cost(busy, answer_bytes=5000) < cost(idle, False, answer_bytes=5000)
+    assert cost(busy, answer_bytes=100) > cost(idle, False, answer_bytes=100)
+
+
 def test_a_free_slot_on_a_slower_upstream_beats_a_long_queue():
     assert cost(load(18)) > cost(load(2, slowness=1.8))
 
@@ -43,12 +50,12 @@
 
 
 def test_speed_is_learned_against_the_others_on_the_same_route():
-    times = {}
+    short, long = RouteCosts(), RouteCosts()
     fast, slow = TargetLoad(), TargetLoad()
     for _ in range(200):
-        note_time(times, fast, "short", 8.0)
-        note_time(times, fast, "long", 60.0)
-        note_time(times, slow, "long", 120.0)
+        note_answer(short, fast, 8.0, 100)
+        note_answer(long, fast, 60.0, 100)
+        note_answer(long, slow, 120.0, 100)
     assert 0.6 < fast.slowness < 1.1 < slow.slowness
 
 
