Close callers' connections on refusals once many are open; no slack before the fleet is known

A node that has just started took the whole slack of repeats for itself until its first upkeep; after a restart of all that is eleven times the slack. Feeds wait 8 s and changes that come together are read together: fewer calls to the store.

--- a/agaterelay/core/retry_budget.py
+++ b/agaterelay/core/retry_budget.py
@@ -26,15 +26,15 @@
     tokens: dict[str, float] = attrs.field(factory=dict)
 
 
-def budget_of(ratio: float, slack: float, nodes: int) -> RetryBudget:
-    """Return a node's part of the users' budget.
+def budget_of(ratio: float) -> RetryBudget:
+    """Return the budget of a node that does not know yet how many share the slack.
+
+    It has no slack until then: nodes that start together would spend it many times.
 
     Args:
         ratio: Repeats that are allowed per request.
-        slack: Repeats that are allowed beside that in one window, by all nodes.
-        nodes: How many nodes share the slack.
     """
-    return RetryBudget(RATIO_PART * ratio, SLACK_PART * slack / max(nodes, 1))
+    return RetryBudget(RATIO_PART * ratio, 0.0)
 
 
 def share_slack(budget: RetryBudget, slack: float, nodes: int) -> None:
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -153,9 +153,10 @@
     async def callers(request: web.BaseRequest) -> web.StreamResponse:
         return await answer_caller(node, request, make_request)
 
+    node.callers = CallersServer(callers, node.state)
     platform = partial(answer_platform, node, sink)
     return [
-        (CallersServer(callers, node.state), deployment.calls_address),
+        (node.callers, deployment.calls_address),
         (web.Server(platform, access_log=None), deployment.announce_address),
         (web.Server(platform, access_log=None), deployment.ready_address),
         (web.Server(platform, access_log=None), deployment.metrics_address),
--- a/agaterelay/mesh/entry.py
+++ b/agaterelay/mesh/entry.py
@@ -267,7 +267,9 @@
             if version != serving:
                 version, burst = serving, False
                 continue
-            return _final(entry, journey, "no upstream can be reached")
+            tried = journey.placements > 0
+            reason = "every upstream refused" if tried else "no upstream can be reached"
+            return _final(entry, journey, reason)
         member, upstream = found
         journey.tried.add(member.host)
         journey.placements += 1
@@ -483,5 +485,7 @@
 
 
 def follow_fleet_size(entry: Entry, slack: float) -> None:
-    """Share the budget's slack between the nodes that are known."""
+    """Share the budget's slack between the nodes, once they are known."""
+    if not entry.state.fleet_known:
+        return
     share_slack(entry.budget, slack, len(entry.state.members) + 1)
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -217,6 +217,7 @@
 def _take_news(links: Links, connection: FrameConnection, frame: list[Any]) -> None:
     _, host, revision, members, moves = frame
     connection.host = host
+    links.state.fleet_known |= len(members) > 1
     changed = False
     for plain in members:
         member = member_from_wire(plain)
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -14,7 +14,7 @@
 from agaterelay.core.announcement import UpstreamState
 from agaterelay.core.deployment import Deployment
 from agaterelay.core.membership import Member
-from agaterelay.core.outcome import NotRun
+from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.core.retry_budget import budget_of
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
@@ -30,6 +30,7 @@
 from agaterelay.mesh.meters import Meters
 from agaterelay.mesh.mover import Mover, run_mover
 from agaterelay.mesh.servers import (
+    CallersServer,
     Listening,
     listen,
     read_whole,
@@ -46,6 +47,9 @@
 )
 
 RESTART_DELAY_S = 0.2
+# A host's callers keep some tens of connections; a process may have 3,900 at most.
+MANY_CONNECTIONS = 200
+MAX_CONNECTIONS = 2000
 # Callers are told by the platform, which asks once a second and waits for two misses.
 # A request that comes later is refused, so that all that was taken can end in time.
 MIN_STOP_S = 3.2
@@ -55,7 +59,7 @@
 LAST_ANSWERS_S = 0.15
 CLOSING_RETRY_S = 0.2
 STOP_POLL_S = 0.05
-UPKEEP_PERIOD_S = 1.0
+UPKEEP_PERIOD_S = 0.25
 
 
 @attrs.define
@@ -71,6 +75,7 @@
     mover: Mover
     meters: Meters
     closing: bool = False
+    callers: CallersServer | None = None
 
 
 def own_member(deployment: Deployment, incarnation: int) -> Member:
@@ -86,7 +91,7 @@
 def new_entry(context: Context, state: MeshState, links: Links) -> Entry:
     """Return an entry with this node's part of the budget for repeats."""
     bounds = context.deployment.bounds
-    budget = budget_of(bounds.retry_ratio, bounds.retry_slack, 1)
+    budget = budget_of(bounds.retry_ratio)
     return Entry(context, state, links, budget)
 
 
@@ -118,12 +123,24 @@
     wanted = make_request(
         request.method, request.raw_path, request.raw_headers, request.headers, body
     )
-    response = response_of(await serve(node.entry, wanted))
-    if node.state.stopping:
+    outcome = await serve(node.entry, wanted)
+    response = response_of(outcome)
+    if node.state.stopping or _should_close(node, outcome):
         response.force_close()
     return response
 
 
+def _should_close(node: Node, outcome: Outcome) -> bool:
+    """Return whether a caller's connection ends with this answer.
+
+    Callers come back on new connections after a refusal, so the old ones pile up.
+    """
+    opened = len(node.callers.connections) if node.callers else 0
+    if opened > MAX_CONNECTIONS:
+        return True
+    return opened > MANY_CONNECTIONS and not isinstance(outcome, Answered)
+
+
 async def keep_up(node: Node) -> None:
     """Look after what changes slowly, until cancelled."""
     slack = node.context.deployment.bounds.retry_slack
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -40,6 +40,7 @@
     trial_began_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
     braked: set[tuple[str, int]] = attrs.field(factory=set)
     store_up: bool = False  # written by the watch
+    fleet_known: bool = False  # written by the watch
     stopping: bool = False  # written by the node
     news: asyncio.Event = attrs.field(factory=asyncio.Event)
     versions: dict[str, tuple[str, str | None]] = attrs.field(factory=dict)
--- a/agaterelay/mesh/watch.py
+++ b/agaterelay/mesh/watch.py
@@ -43,9 +43,11 @@
 MOVE_PREFIX = "move/"
 # Long enough that an idle fleet asks little, short enough that a feed that has fallen
 # silent is noticed while links still bring the news.
-FEED_WAIT_S = 4.0
-# Changes that come together are read together.
-SETTLE_S = 0.15
+FEED_WAIT_S = 8.0
+# Changes that come soon after one another are read together: a quarter of a second of
+# the two that a configuration may take. Links tell of hosts and moves without the feed.
+OPERATOR_SETTLE_S = 0.25
+FLEET_SETTLE_S = 1.0
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 # A host that no link reaches for this long is taken for gone.
@@ -182,7 +184,10 @@
 
 
 async def watch_table(
-    watch: Watch, table: str, take: Callable[[Watch, StoredRow], None]
+    watch: Watch,
+    table: str,
+    take: Callable[[Watch, StoredRow], None],
+    settle_s: float,
 ) -> None:
     """Read a table and follow its changes until cancelled."""
     clock = watch.context.clock
@@ -210,8 +215,9 @@
         retry_s = FIRST_RETRY_S
         version = max(changes.version, version or 0)
         _take_rows(watch, changes, take)
-        if changes.rows and table == FLEET_TABLE:
-            await clock.sleep(SETTLE_S)
+        watch.state.fleet_known |= table == FLEET_TABLE
+        if changes.rows:
+            await clock.sleep(settle_s)
 
 
 def _drop_missing(watch: Watch, changes: Changes) -> None:
@@ -243,12 +249,12 @@
 
 async def watch_operator(watch: Watch) -> None:
     """Follow the operator's rows until cancelled."""
-    await watch_table(watch, watch.formats.table, _take_operator_row)
+    await watch_table(watch, watch.formats.table, _take_operator_row, OPERATOR_SETTLE_S)
 
 
 async def watch_fleet(watch: Watch) -> None:
     """Follow the fleet's rows until cancelled."""
-    await watch_table(watch, FLEET_TABLE, _take_fleet_row)
+    await watch_table(watch, FLEET_TABLE, _take_fleet_row, FLEET_SETTLE_S)
 
 
 async def write_own_row(watch: Watch) -> None:
--- a/tests/core/test_placing.py
+++ b/tests/core/test_placing.py
@@ -11,7 +11,7 @@
     note_answer,
     note_report,
 )
-from agaterelay.core.retry_budget import budget_of, earn, spend
+from agaterelay.core.retry_budget import budget_of, earn, share_slack, spend
 from agaterelay.core.weighted import next_part, spread_from
 
 
@@ -67,7 +67,9 @@
 
 
 def test_all_nodes_together_stay_inside_the_budget():
-    budgets = [budget_of(0.2, 60, 10) for _ in range(10)]
+    budgets = [budget_of(0.2) for _ in range(10)]
+    for budget in budgets:
+        share_slack(budget, 60, 10)
     sent = 0
     for number in range(1000):
         budget = budgets[number % 10]
@@ -77,6 +79,12 @@
     assert 0 < sent <= 0.2 * 1000 + 60
 
 
+def test_a_node_that_has_just_started_has_no_slack_to_spend():
+    budget = budget_of(0.2)
+    earn(budget, "desk")
+    assert not spend(budget, "desk")
+
+
 def test_a_split_follows_its_weights_at_any_moment():
     split = spread_from([("a", 90), ("b", 10)], 37)
     for _ in range(20):
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -149,6 +149,7 @@
     running = [other for other in fleet.hosts if other.node is not None]
     return (
         state.table is not None
+        and host.node.entry.budget.slack > 0
         and sum(link.usable for link in host.node.links.links.values())
         >= len(running) - 1
         and sum(bool(member.upstreams) for member in state.members.values())
--- a/tests/mesh/test_calls.py
+++ b/tests/mesh/test_calls.py
@@ -193,3 +193,27 @@
             assert sum(leaving.instance.ran.values()) == before
 
     asyncio.run(play())
+
+
+def test_connections_of_refused_callers_do_not_pile_up(monkeypatch):
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            host = fleet.hosts[0]
+            await withdraw(host.instance, admin_of(host))
+            monkeypatch.setattr("agaterelay.mesh.node.MANY_CONNECTIONS", 5)
+            address = host.deployment.calls_address.rsplit(":", 1)
+            kept = []
+            for number in range(20):
+                reader, writer = await asyncio.open_connection(*address)
+                writer.write(
+                    b"GET /read/x HTTP/1.1\r\nHost: app.example\r\n"
+                    b"X-Attempt-Id: %d\r\n\r\n" % number
+                )
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 503")
+                kept.append(writer)
+            await until(lambda: len(host.node.callers.connections) <= 5)
+            for writer in kept:
+                writer.close()
+
+    asyncio.run(play())
