--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -10,6 +10,7 @@
 import sys
 from functools import partial
 
+import attrs
 from aiohttp import web
 
 from agaterelay.adapters.clock import SystemClock
@@ -24,7 +25,7 @@
 from agaterelay.core.timeline import Timeline
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import take_announcement, take_withdrawal
-from agaterelay.mesh.entry import Request
+from agaterelay.mesh.entry import Entry, Request
 from agaterelay.mesh.gate import Gate, WireFormat
 from agaterelay.mesh.links import Links
 from agaterelay.mesh.meters import Meters
@@ -33,7 +34,7 @@
     Node,
     answer_caller,
     is_ready,
-    new_entry,
+    new_budget,
     own_member,
     run_node,
 )
@@ -80,7 +81,7 @@
 
     links = Links(context, state, gate, take_table)
     watch = Watch(context, state, links, OPERATOR)
-    entry = new_entry(context, state, links)
+    entry = Entry(context, state, links, new_budget(deployment.bounds))
     meters = Meters()
     entry.count_end = meters.count_request
     return Node(
@@ -170,6 +171,7 @@
     store = StoreClient(deployment.store.address)
     await store.open()
     node = build(deployment, SystemClock(), store)
+    store.count = node.meters.count_store_call
     record_library_warnings(node.context.record)
 
     async def reload() -> None:
@@ -182,15 +184,25 @@
 
 
 async def reload_settings(node: Node) -> None:
-    """Read the settings again; what cannot change while running is left as it was."""
+    """Read the settings again, and take over what can change while running."""
     deployment, findings = settings.load_deployment(settings.settings_path())
     if deployment is None:
         node.context.record(
             EventKind.SETTINGS_INVALID, findings=[str(item) for item in findings]
         )
         return
-    changed = deployment != node.context.deployment
-    node.context.record(EventKind.SETTINGS_RELOADED, changed=changed)
+    present = node.context.deployment
+    taken = attrs.evolve(
+        present, bounds=deployment.bounds, heartbeat_s=deployment.heartbeat_s
+    )
+    node.context.deployment = taken
+    node.entry.budget.ratio = new_budget(taken.bounds).ratio
+    node.context.record(
+        EventKind.SETTINGS_RELOADED,
+        taken=taken != present,
+        needs_restart=attrs.evolve(deployment, first_start=present.first_start)
+        != taken,
+    )
 
 
 def main() -> int:
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -63,6 +63,10 @@
         child[0].inc()
         child[1].observe(elapsed_s)
 
+    def count_store_call(self, call: str, result: str) -> None:
+        """Count one call to the store."""
+        self.store_calls.labels(call, result).inc()
+
     def render(self) -> bytes:
         """Return the exposition as text."""
         return generate_latest(self.registry)
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -12,10 +12,10 @@
 from aiohttp import web
 
 from agaterelay.core.announcement import UpstreamState
-from agaterelay.core.deployment import Deployment
+from agaterelay.core.deployment import Bounds, Deployment
 from agaterelay.core.membership import Member
 from agaterelay.core.outcome import Answered, NotRun, Outcome
-from agaterelay.core.retry_budget import budget_of
+from agaterelay.core.retry_budget import RetryBudget, budget_of
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
 from agaterelay.mesh.entry import (
@@ -88,11 +88,9 @@
     )
 
 
-def new_entry(context: Context, state: MeshState, links: Links) -> Entry:
-    """Return an entry with this node's part of the budget for repeats."""
-    bounds = context.deployment.bounds
-    budget = budget_of(bounds.retry_ratio)
-    return Entry(context, state, links, budget)
+def new_budget(bounds: Bounds) -> RetryBudget:
+    """Return this node's part of the budget for repeats."""
+    return budget_of(bounds.retry_ratio)
 
 
 def is_ready(node: Node) -> bool:
@@ -143,10 +141,9 @@
 
 async def keep_up(node: Node) -> None:
     """Look after what changes slowly, until cancelled."""
-    slack = node.context.deployment.bounds.retry_slack
     while True:
         await node.context.clock.sleep(UPKEEP_PERIOD_S)
-        follow_fleet_size(node.entry, slack)
+        follow_fleet_size(node.entry, node.context.deployment.bounds.retry_slack)
         lapse_if_silent(node.watch, node.gate)
 
 
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -14,9 +14,12 @@
 from agaterelay.ports import Clock, Store
 
 
-@attrs.frozen
+@attrs.define
 class Context:
-    """The ports and settings that all tasks use."""
+    """The ports and settings that all tasks use.
+
+    ``deployment`` is replaced when the settings are read again.
+    """
 
     deployment: Deployment
     clock: Clock
--- a/agaterelay/platform/store.py
+++ b/agaterelay/platform/store.py
@@ -6,7 +6,7 @@
 import binascii
 import json
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import aiohttp
@@ -66,6 +66,8 @@
     def __init__(self, address: str) -> None:
         self._base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
+        # Told the name and the result of every call.
+        self.count: Callable[[str, str], None] = lambda call, result: None
 
     async def open(self) -> None:
         """Open the session; nothing is sent yet."""
@@ -92,7 +94,9 @@
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self.count(path, type(error).__name__)
             raise PlatformError(f"{path}: {type(error).__name__}") from error
+        self.count(path, str(response.status))
         if response.status not in (200, 410, 412):
             raise PlatformError(f"{path}: status {response.status}")
         try:
