Link to a part of each service's upstreams in a large fleet; explain a request from logs

Links grew with the square of the fleet (84 hosts: 6,972). 'agaterelay explain' tells a request's story from any hosts' output in causal order; a try's line now has the load it was placed on (it had the one reported after).

--- a/agaterelay/cli/commands.py
+++ b/agaterelay/cli/commands.py
@@ -4,6 +4,8 @@
 
 import json
 import sys
+from pathlib import Path
+from typing import Annotated
 
 import attrs
 import cappa
@@ -12,9 +14,10 @@
 from agaterelay.cli.check import Check
 from agaterelay.cli.diff import Diff
 from agaterelay.cli.drain import Drain
+from agaterelay.cli.explain import Explain
 from agaterelay.cli.key import Key
 from agaterelay.cli.move import Move
-from agaterelay.cli.outcome import CommandError
+from agaterelay.cli.outcome import CommandError, Exit
 from agaterelay.cli.show import Show
 from agaterelay.cli.status import Status
 from agaterelay.cli.timeline import Timeline
@@ -22,13 +25,40 @@
 INTERRUPTED = 130
 
 
+def refuse_node(command: Node) -> None:
+    """Tell that the node is started by the entry point, without these libraries."""
+    usage = f"start it as: agaterelay node --settings {command.settings}"
+    raise CommandError(Exit.USAGE, usage)
+
+
+@cappa.command(invoke=refuse_node, help="Run a node: agaterelay node --settings FILE.")
+@attrs.define
+class Node:
+    """The arguments of ``node``, as the help lists them."""
+
+    settings: Annotated[
+        Path, cappa.Arg(long="--settings", help="The node's settings, a TOML file.")
+    ]
+
+
 @cappa.command(name="agaterelay", help="Configuration distribution for a mesh.")
 @attrs.define
 class Agaterelay:
     """The program's commands; ``agaterelay node --settings FILE`` runs a node."""
 
     command: cappa.Subcommands[
-        Check | Diff | Apply | Remove | Show | Status | Move | Drain | Key | Timeline
+        Check
+        | Diff
+        | Apply
+        | Remove
+        | Show
+        | Status
+        | Move
+        | Drain
+        | Key
+        | Timeline
+        | Explain
+        | Node
     ]
 
 
--- a/agaterelay/cli/main.py
+++ b/agaterelay/cli/main.py
@@ -16,7 +16,7 @@
 def main() -> None:
     """Run the command that the arguments name."""
     arguments = sys.argv[1:]
-    if arguments[:1] == ["node"] and "--help" not in arguments:
+    if arguments[:1] == ["node"] and not {"--help", "-h"} & set(arguments):
         sys.exit(run_node_command(arguments[1:]))
     from agaterelay.cli.commands import run_command
 
--- a/agaterelay/core/outcome.py
+++ b/agaterelay/core/outcome.py
@@ -28,10 +28,12 @@
 
     ``sent`` is False where this one try certainly did not reach the key's home. Only a
     caller who sent no other try may conclude from it that the call did not run.
+    ``timed_out`` tells that no answer came before the deadline.
     """
 
     reason: str
     sent: bool = True
+    timed_out: bool = False
 
 
 Outcome = Answered | NotRun | Unknown
--- a/agaterelay/mesh/entry.py
+++ b/agaterelay/mesh/entry.py
@@ -357,6 +357,7 @@
     )
     now_s = entry.context.clock.monotonic_s()
     load = load_of(entry.links, member.host)
+    placed_on = _describe_load(load, now_s)
     limit: asyncio.Timeout | None = None
     try:
         async with asyncio.timeout(journey.deadline_s - now_s + GATE_MARGIN_S) as limit:
@@ -366,7 +367,8 @@
         return None
     except TimeoutError:
         reason = "the node is stopping" if entry.ending else "no answer in time"
-        ran = Ran(Unknown(reason), True, load.report or _NO_REPORT)
+        outcome = Unknown(reason, timed_out=not entry.ending)
+        ran = Ran(outcome, True, load.report or _NO_REPORT)
     finally:
         if limit is not None:
             entry.limits.discard(limit)
@@ -381,21 +383,23 @@
             instance=upstream.instance,
             outcome=type(ran.outcome).__name__,
             reason=ran.outcome.reason,
-            load=_describe_load(load, now_s),
+            load=placed_on,
             elapsed_ms=_elapsed_ms(entry, journey),
         )
     return ran
 
 
-def _describe_load(load: TargetLoad, now_s: float) -> str:
-    """Return what a try was placed on: the load as known, and its age."""
-    if load.report is None:
-        return "unknown"
-    age_ms = round((now_s - load.reported_s) * 1000)
-    return (
-        f"{load.report.in_flight}/{load.report.slots} {load.report.work_ms} ms, "
-        f"failing {load.report.failing}, {age_ms} ms old"
-    )
+def _describe_load(load: TargetLoad, now_s: float) -> tuple[float, ...]:
+    """Return the load as known when a call is placed, empty where nothing is known.
+
+    In order: calls in flight, slots, mean time in milliseconds, share that fails, and
+    the age of all that in milliseconds.
+    """
+    report = load.report
+    if report is None:
+        return ()
+    age_ms = int((now_s - load.reported_s) * 1000)
+    return (report.in_flight, report.slots, report.work_ms, report.failing, age_ms)
 
 
 def _note_retry_after(journey: Journey, outcome: NotRun) -> None:
--- a/agaterelay/mesh/gate.py
+++ b/agaterelay/mesh/gate.py
@@ -269,7 +269,8 @@
     except AnswerLostError as error:
         outcome: Outcome = Unknown(f"the answer was lost: {error}")
     except TimeoutError:
-        outcome = Unknown("the upstream did not answer before the deadline")
+        reason = "the upstream did not answer before the deadline"
+        outcome = Unknown(reason, timed_out=True)
     else:
         outcome = gate.wire.outcome(
             answer.status, answer.headers, answer.body, call.call_id
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -20,6 +20,7 @@
 from agaterelay.adapters.frames import Frame, FrameConnection
 from agaterelay.core.call import Call
 from agaterelay.core.membership import Member
+from agaterelay.core.neighbours import wanted_hosts
 from agaterelay.core.outcome import Unknown
 from agaterelay.core.placing import TargetLoad, note_report
 from agaterelay.core.trial import MoveRecord, RouteTallies
@@ -49,8 +50,10 @@
 CONNECT_TIMEOUT_S = 1.0
 FIRST_REDIAL_S = 0.2
 MAX_REDIAL_S = 1.5
-# An idle link still tells revisions this often.
+# An idle link still tells revisions this often; with many links less often, so that a
+# node sends no more than some pings a second in all.
 IDLE_PING_S = 1.0
+MAX_IDLE_PINGS_PER_S = 12
 # A busy link on which nothing came for this long is asked whether it is alive.
 BUSY_PING_S = 0.3
 # A ping is answered within a round trip; a busy host takes some tens of milliseconds.
@@ -122,14 +125,18 @@
 
 
 def follow_members(links: Links) -> None:
-    """Dial the hosts that became known and drop the links to those removed."""
-    members = links.state.members
-    for host, member in members.items():
-        if host not in links.links and member.usable:
+    """Dial the hosts that are wanted now and drop the links to others."""
+    state = links.state
+    wanted = wanted_hosts(state.own, state.members.values())
+    for host in wanted:
+        if host not in links.links:
             link = links.links[host] = Link(host)
             link.dialer = asyncio.create_task(_keep_dialled(links, link))
-    for host in [host for host in links.links if host not in members]:
-        link = links.links.pop(host)
+    for host, link in tuple(links.links.items()):
+        # A link on which calls wait is dropped with a later change.
+        if host in wanted or (host in state.members and link.pending):
+            continue
+        del links.links[host]
         if link.dialer is not None:
             link.dialer.cancel()
         if link.connection is not None:
@@ -209,9 +216,13 @@
         [member_to_wire(state.own)],
         [move_to_wire(record) for record in state.moves.values()],
     ]
+    told = set()
     for link in links.links.values():
-        if link.connection is not None:
-            link.connection.send(frame)
+        if link.connection is not None and link.connection.send(frame):
+            told.add(link.host)
+    for connection in links.accepted:
+        if connection.host not in told:
+            connection.send(frame)
 
 
 def _take_news(links: Links, connection: FrameConnection, frame: list[Any]) -> None:
@@ -438,7 +449,8 @@
 
 def _watch_link(links: Links, link: Link, now_s: float) -> None:
     quiet_s = now_s - link.heard_s
-    limit_s = BUSY_PING_S if link.pending else IDLE_PING_S
+    idle_s = max(IDLE_PING_S, len(links.links) / MAX_IDLE_PINGS_PER_S)
+    limit_s = BUSY_PING_S if link.pending else idle_s
     if link.pinged_s is None:
         if quiet_s >= limit_s:
             link.pinged_s = now_s
--- a/agaterelay/mesh/mover.py
+++ b/agaterelay/mesh/mover.py
@@ -39,6 +39,7 @@
 
 STEP_PERIOD_S = 0.4
 RECENT_S = 3.0
+TURNS_IN_LARGE_FLEET = 3
 # The first write learns the versions of the rows where they are not known.
 WRITE_TRIES = 3
 
@@ -75,11 +76,20 @@
 
 
 def is_turn(mover: Mover, order: Order) -> bool:
-    """Return whether this host carries out an order."""
-    hosts = [host for host, link in mover.links.links.items() if link.usable] + [
-        mover.state.own.host
+    """Return whether this host carries out an order.
+
+    In a large fleet nobody is linked to all hosts, so a dead one may seem to be first:
+    several take the turn there, which the conditions of their writes allow.
+    """
+    links = mover.links.links
+    hosts = [
+        member.host
+        for member in all_members(mover.state)
+        if member.host not in links or links[member.host].usable
     ]
-    return rank(hosts, f"move {order.service}")[0] == mover.state.own.host
+    linked_to_all = all(host in links for host in mover.state.members)
+    turns = 1 if linked_to_all else TURNS_IN_LARGE_FLEET
+    return mover.state.own.host in rank(hosts, f"move {order.service}")[:turns]
 
 
 async def step(mover: Mover, order: Order) -> None:
--- a/agaterelay/mesh/servers.py
+++ b/agaterelay/mesh/servers.py
@@ -9,7 +9,7 @@
 from aiohttp import hdrs, web
 from aiohttp.web_protocol import RequestHandler
 
-from agaterelay.core.outcome import Answered, NotRun, Outcome
+from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.mesh.state import MeshState
 
 # Callers use a connection for up to four fifths of the idle limit.
@@ -17,6 +17,7 @@
 BACKLOG = 1024
 NOT_RUN_STATUS = 503
 UNKNOWN_STATUS = 502
+TIMED_OUT_STATUS = 504
 READ_CHUNK_BYTES = 1 << 16
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -74,13 +75,18 @@
                 response.headers.add(name, value)
         return response
     headers = {}
-    status = UNKNOWN_STATUS
+    status = TIMED_OUT_STATUS if outcome_timed_out(outcome) else UNKNOWN_STATUS
     if isinstance(outcome, NotRun):
         status = NOT_RUN_STATUS
         headers["Retry-After"] = f"{max(outcome.retry_after_s, 0.01):.3f}"
     return web.Response(status=status, headers=headers, text=f"{outcome.reason}\n")
 
 
+def outcome_timed_out(outcome: Outcome) -> bool:
+    """Return whether no answer came before the deadline."""
+    return isinstance(outcome, Unknown) and outcome.timed_out
+
+
 @attrs.define
 class Listening:
     """The servers that were started."""
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -80,7 +80,7 @@
         return [_ANSWERED, outcome.status, outcome.headers, outcome.body]
     if isinstance(outcome, NotRun):
         return [_NOT_RUN, outcome.reason, outcome.retry_after_s]
-    return [_UNKNOWN, outcome.reason, outcome.sent]
+    return [_UNKNOWN, outcome.reason, outcome.sent, outcome.timed_out]
 
 
 def _outcome_from_wire(plain: list[Any]) -> Outcome:
@@ -90,7 +90,7 @@
         return Answered(plain[1], headers, plain[3])
     if kind == _NOT_RUN:
         return NotRun(plain[1], plain[2])
-    return Unknown(plain[1], plain[2])
+    return Unknown(plain[1], plain[2], plain[3])
 
 
 def member_to_wire(member: Member) -> list[Any]:
--- /dev/null
+++ b/tests/core/test_neighbours.py
@@ -0,0 +1,59 @@
+"""Which hosts a node keeps a link to."""
+
+from collections import Counter
+
+from agaterelay.core.membership import Member, UpstreamInfo
+from agaterelay.core.neighbours import (
+    FAR_UPSTREAMS,
+    NEAR_UPSTREAMS,
+    OTHER_HOSTS,
+    wanted_hosts,
+)
+
+
+def fleet(size, services=2, zones=3):
+    return [
+        Member(
+            host=f"10.0.{number // 250}.{number % 250}:80",
+            zone=f"z{number % zones}",
+            incarnation=1,
+            sequence=1,
+            upstreams=(UpstreamInfo(f"s{number // zones % services}", "v1", "a:1", 4),),
+        )
+        for number in range(size)
+    ]
+
+
+def test_in_a_small_fleet_all_hosts_are_linked():
+    members = fleet(12)
+    for own in members:
+        assert len(wanted_hosts(own, members)) == 11
+
+
+def test_in_a_large_fleet_links_grow_with_the_services_and_not_with_the_hosts():
+    most = NEAR_UPSTREAMS + FAR_UPSTREAMS
+    for size in (96, 480):
+        members = fleet(size)
+        for own in members[:6]:
+            wanted = wanted_hosts(own, members)
+            assert 2 * most <= len(wanted) <= 2 * most + OTHER_HOSTS
+
+
+def test_every_host_is_wanted_by_others_of_its_zone_and_of_others():
+    members = fleet(120)
+    wanted_by = Counter()
+    zones = {}
+    for own in members:
+        for host in wanted_hosts(own, members):
+            wanted_by[host] += 1
+            zones.setdefault(host, set()).add(own.zone)
+    assert min(wanted_by[member.host] for member in members) >= 10
+    assert all(len(zones[member.host]) == 3 for member in members)
+
+
+def test_a_host_that_leaves_changes_the_choice_of_the_others_little():
+    members = fleet(120)
+    own, gone = members[0], members[7]
+    before = wanted_hosts(own, members)
+    after = wanted_hosts(own, [item for item in members if item is not gone])
+    assert len(before - after - {gone.host}) <= 1
