Let a few nodes of a large zone watch the store; the others hear from them

Zones of up to 8 hosts keep watching with all nodes, so the two sites' behaviour is as before. Found by the tests here: the removal of a row dropped the link before the host was told; a row written again was taken for the buried one.

--- a/agaterelay/core/neighbours.py
+++ b/agaterelay/core/neighbours.py
@@ -14,12 +14,28 @@
 from agaterelay.core.membership import Member
 from agaterelay.core.rendezvous import rank
 
+# Availability zones up to this size have every node watch the store; in larger ones a
+# few do, and the others hear from them.
+MAX_WATCHERS = 8
+READERS = 2
 # Upstreams of one version of a service: enough to spread load and to outlive a zone.
 NEAR_UPSTREAMS = 10
 FAR_UPSTREAMS = 6
 OTHER_HOSTS = 3
 
 
+def readers_of(hosts: Iterable[str]) -> tuple[str, ...]:
+    """Return the hosts of an availability zone that watch the store for it.
+
+    Args:
+        hosts: The hosts of the zone that can be reached.
+    """
+    hosts = list(hosts)
+    if len(hosts) <= MAX_WATCHERS:
+        return tuple(hosts)
+    return tuple(rank(hosts, "reader")[:READERS])
+
+
 def wanted_hosts(own: Member, members: Iterable[Member]) -> set[str]:
     """Return the hosts to keep a link to.
 
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -12,7 +12,7 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -23,16 +23,18 @@
 from agaterelay.core.neighbours import wanted_hosts
 from agaterelay.core.outcome import Unknown
 from agaterelay.core.placing import TargetLoad, note_report
-from agaterelay.core.trial import MoveRecord, RouteTallies
+from agaterelay.core.trial import MoveRecord, Order, RouteTallies
 from agaterelay.events import EventKind
 from agaterelay.mesh.gate import Gate, Ran, report_load, run_call, tallies_since
 from agaterelay.mesh.state import (
     Context,
     MeshState,
     all_members,
+    drop_member,
     revision_of,
     take_member,
     take_move,
+    take_order,
 )
 from agaterelay.mesh.wire import (
     call_from_wire,
@@ -41,6 +43,8 @@
     member_to_wire,
     move_from_wire,
     move_to_wire,
+    order_from_wire,
+    order_to_wire,
     ran_from_wire,
     ran_to_wire,
     tallies_from_wire,
@@ -54,6 +58,8 @@
 # node sends no more than some pings a second in all.
 IDLE_PING_S = 1.0
 MAX_IDLE_PINGS_PER_S = 12
+# How long a node that is behind waits for its own zone before it asks another one.
+OTHER_ZONE_DELAY_S = 0.5
 # A busy link on which nothing came for this long is asked whether it is alive.
 BUSY_PING_S = 0.3
 # A ping is answered within a round trip; a busy host takes some tens of milliseconds.
@@ -81,6 +87,8 @@
     heard_s: float = 0.0
     pinged_s: float | None = None
     usable: bool = False
+    # When the other last said that it watches the store.
+    watching_s: float = -1e9
     lost_s: float = 0.0
     load: TargetLoad = attrs.field(factory=TargetLoad)
     dialer: asyncio.Task[None] | None = None
@@ -103,6 +111,7 @@
     own_load: TargetLoad = attrs.field(factory=TargetLoad)
     server: asyncio.Server | None = None
     asked_table_s: float = -1.0
+    behind_s: float | None = None
 
 
 async def start_links(links: Links) -> None:
@@ -128,6 +137,7 @@
     """Dial the hosts that are wanted now and drop the links to others."""
     state = links.state
     wanted = wanted_hosts(state.own, state.members.values())
+    wanted.update(host for host in state.readers if host in state.members)
     for host in wanted:
         if host not in links.links:
             link = links.links[host] = Link(host)
@@ -203,31 +213,77 @@
     state = links.state
     members = [member_to_wire(member) for member in all_members(state)]
     moves = [move_to_wire(record) for record in state.moves.values()]
-    connection.send([Frame.HELLO, state.own.host, revision_of(state), members, moves])
+    orders = [order_to_wire(order) for order in state.orders.values()]
+    connection.send(
+        [
+            Frame.HELLO,
+            state.own.host,
+            revision_of(state),
+            members,
+            moves,
+            orders,
+            [],
+            state.watching,
+        ]
+    )
 
 
 def tell_all(links: Links) -> None:
-    """Tell all other nodes of this host's entry and of all moves."""
+    """Tell all linked nodes of this host's entry, of all moves and orders."""
+    _tell(links, [links.state.own], [], own_zone_only=False)
+
+
+def tell_zone(
+    links: Links, members: Iterable[Member], removed: Iterable[tuple[str, int, int]]
+) -> None:
+    """Tell the own zone what this node read in the store for all of it.
+
+    Args:
+        links: The links.
+        members: The hosts whose entries are news.
+        removed: The hosts whose rows were removed, with their last pairs.
+    """
+    _tell(links, members, removed, own_zone_only=True)
+
+
+def _tell(
+    links: Links,
+    members: Iterable[Member],
+    removed: Iterable[tuple[str, int, int]],
+    own_zone_only: bool,
+) -> None:
     state = links.state
     frame = [
         Frame.NEWS,
         state.own.host,
         revision_of(state),
-        [member_to_wire(state.own)],
+        [member_to_wire(member) for member in members],
         [move_to_wire(record) for record in state.moves.values()],
+        [order_to_wire(order) for order in state.orders.values()],
+        [list(item) for item in removed],
+        state.watching,
     ]
     told = set()
     for link in links.links.values():
+        if own_zone_only and not _in_own_zone(links, link.host):
+            continue
         if link.connection is not None and link.connection.send(frame):
             told.add(link.host)
     for connection in links.accepted:
-        if connection.host not in told:
+        host = connection.host
+        if host not in told and (not own_zone_only or _in_own_zone(links, host)):
             connection.send(frame)
 
 
+def _in_own_zone(links: Links, host: str) -> bool:
+    member = links.state.members.get(host)
+    return member is not None and member.zone == links.state.own.zone
+
+
 def _take_news(links: Links, connection: FrameConnection, frame: list[Any]) -> None:
-    _, host, revision, members, moves = frame
+    _, host, revision, members, moves, orders, removed, watching = frame
     connection.host = host
+    _note_watching(links, host, watching)
     links.state.fleet_known |= len(members) > 1
     changed = False
     for plain in members:
@@ -235,6 +291,15 @@
         if member.host == links.state.own.host:
             _note_older_self(links, member)
         changed |= take_member(links.state, member)
+    for gone, incarnation, sequence in removed:
+        if gone == links.state.own.host:
+            links.state.own_row_lost = True
+            links.state.news.set()
+        else:
+            changed |= drop_member(links.state, gone, (incarnation, sequence))
+    for plain in orders:
+        if take_order(links.state, order_from_wire(plain)):
+            log_order(links.context, order_from_wire(plain), f"link {host}")
     now_s = links.context.clock.monotonic_s()
     for plain in moves:
         record = move_from_wire(plain)
@@ -266,11 +331,40 @@
     )
 
 
+def log_order(context: Context, order: Order, source: str) -> None:
+    """Log an order that this node has heard of."""
+    context.record(
+        EventKind.MOVE_ORDERED,
+        service=order.service,
+        version=order.to_version,
+        duration_s=order.duration_s,
+        order=order.number,
+        source=source,
+    )
+
+
+def _note_watching(links: Links, host: str, watching: bool) -> None:
+    link = links.links.get(host)
+    if link is not None:
+        now_s = links.context.clock.monotonic_s()
+        link.watching_s = now_s if watching else -1e9
+
+
 def _note_revision(links: Links, connection: FrameConnection, revision: int) -> None:
-    """Ask for the configuration where the other node is ahead."""
+    """Ask for the configuration where the other node is ahead.
+
+    A node of another zone is asked only where none of the own zone has it soon: a
+    document is large, and bytes between zones are dear.
+    """
     if revision <= revision_of(links.state):
+        links.behind_s = None
         return
     now_s = links.context.clock.monotonic_s()
+    if links.behind_s is None:
+        links.behind_s = now_s
+    waited = now_s - links.behind_s >= OTHER_ZONE_DELAY_S
+    if not waited and not _in_own_zone(links, connection.host):
+        return
     if now_s - links.asked_table_s < BUSY_PING_S:
         return
     links.asked_table_s = now_s
@@ -290,7 +384,7 @@
         if task is not None:
             task.cancel()
     elif kind == Frame.PING:
-        connection.send([Frame.PONG, revision_of(links.state)])
+        connection.send([Frame.PONG, revision_of(links.state), links.state.watching])
         _note_revision(links, connection, frame[1])
     elif kind in (Frame.HELLO, Frame.NEWS):
         _take_news(links, connection, frame)
@@ -355,6 +449,7 @@
         note_report(link.load, ran.report, now_s)
         _note_revision(links, link.connection, frame[3])
     elif kind == Frame.PONG:
+        _note_watching(links, link.host, frame[2])
         _note_revision(links, link.connection, frame[1])
     elif kind == Frame.TALLIES:
         future = link.pending.pop(frame[1], None)
@@ -449,7 +544,9 @@
 
 def _watch_link(links: Links, link: Link, now_s: float) -> None:
     quiet_s = now_s - link.heard_s
-    idle_s = max(IDLE_PING_S, len(links.links) / MAX_IDLE_PINGS_PER_S)
+    idle_s = IDLE_PING_S
+    if link.host not in links.state.readers:
+        idle_s = max(idle_s, len(links.links) / MAX_IDLE_PINGS_PER_S)
     limit_s = BUSY_PING_S if link.pending else idle_s
     if link.pinged_s is None:
         if quiet_s >= limit_s:
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -40,6 +40,7 @@
 from agaterelay.mesh.state import Context, MeshState
 from agaterelay.mesh.watch import (
     Watch,
+    follow_readers,
     prune_members,
     watch_fleet,
     watch_operator,
@@ -143,6 +144,7 @@
     """Look after what changes slowly, until cancelled."""
     while True:
         await node.context.clock.sleep(UPKEEP_PERIOD_S)
+        follow_readers(node.watch)
         follow_fleet_size(node.entry, node.context.deployment.bounds.retry_slack)
         lapse_if_silent(node.watch, node.gate)
 
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -13,6 +13,9 @@
 from agaterelay.core.trial import MoveRecord, Order, usable_versions
 from agaterelay.ports import Clock, Store
 
+# As many removed hosts are remembered as a large fleet replaces in some days.
+MAX_BURIED = 512
+
 
 @attrs.define
 class Context:
@@ -44,6 +47,10 @@
     braked: set[tuple[str, int]] = attrs.field(factory=set)
     store_up: bool = False  # written by the watch
     fleet_known: bool = False  # written by the watch
+    watching: bool = False  # written by the watch
+    readers: tuple[str, ...] = ()  # written by the watch
+    buried: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    own_row_lost: bool = False  # written by the links, cleared by the watch
     stopping: bool = False  # written by the node
     news: asyncio.Event = attrs.field(factory=asyncio.Event)
     versions: dict[str, tuple[str, str | None]] = attrs.field(factory=dict)
@@ -133,6 +140,25 @@
     return True
 
 
+def drop_member(state: MeshState, host: str, pair: tuple[int, int]) -> bool:
+    """Forget a host whose row was removed; return whether it was known.
+
+    Its entry up to the given incarnation and sequence is not taken back from others
+    that have not heard of the removal.
+    """
+    held = state.members.get(host)
+    if held is not None and held.pair > pair:
+        return False
+    state.buried[host] = max(pair, state.buried.get(host, (0, 0)))
+    while len(state.buried) > MAX_BURIED:
+        del state.buried[next(iter(state.buried))]
+    if held is None:
+        return False
+    del state.members[host]
+    forget_derived(state)
+    return True
+
+
 def take_member(state: MeshState, member: Member) -> bool:
     """Take in what a host said of itself; return whether it is news."""
     if member.host == state.own.host:
@@ -140,6 +166,8 @@
     held = state.members.get(member.host)
     if held is not None and held.pair >= member.pair:
         return False
+    if state.buried.get(member.host, (0, 0)) >= member.pair:
+        return False
     state.members[member.host] = member
     forget_derived(state)
     return True
--- a/agaterelay/mesh/watch.py
+++ b/agaterelay/mesh/watch.py
@@ -1,18 +1,22 @@
 """Follow the platform's store: the operator's rows, the fleet's rows, and this host's.
 
-Each node waits for changes of two tables. What it misses there it hears on its links,
-so an outage of the store, or one that strikes this host alone, only delays news.
+A watching node waits for changes of two tables. In a small availability zone every node
+watches; in a large one a few do and tell the others, which watch themselves whenever none
+of the few says that the store answers it. What a node misses in the store it hears on its
+links, so an outage, or one that strikes this host alone, only delays news.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import msgpack
 
+from agaterelay.core.membership import Member
 from agaterelay.core.model import Finding, RouteTable
+from agaterelay.core.neighbours import READERS, readers_of
 from agaterelay.core.rendezvous import rank
 from agaterelay.core.trial import Order
 from agaterelay.events import EventKind
@@ -20,11 +24,15 @@
     Links,
     follow_members,
     log_move,
+    log_order,
     tell_all,
+    tell_zone,
 )
 from agaterelay.mesh.state import (
     Context,
     MeshState,
+    all_members,
+    drop_member,
     forget_derived,
     revision_of,
     take_member,
@@ -44,6 +52,11 @@
 # Long enough that an idle fleet asks little, short enough that a feed that has fallen
 # silent is noticed while links still bring the news.
 FEED_WAIT_S = 8.0
+# How much later than asked the answer to a waiting call may come.
+ANSWER_MARGIN_S = 1.5
+# How long a reader's word that it watches holds; it gives it once a second.
+COVERED_S = 2.5
+STANDBY_PERIOD_S = 0.2
 # Changes that come soon after one another are read together: a quarter of a second of
 # the two that a configuration may take. Links tell of hosts and moves without the feed.
 OPERATOR_SETTLE_S = 0.25
@@ -80,6 +93,17 @@
     row_value: bytes | None = None
     member_versions: dict[str, int] = attrs.field(factory=dict)
     lost: set[str] = attrs.field(factory=set)
+    answered_s: dict[str, float] = attrs.field(factory=dict)
+
+
+def tell_standbys(
+    watch: Watch,
+    members: Iterable[Member],
+    removed: Iterable[tuple[str, int, int]],
+) -> None:
+    """Tell the zone what was read in the store, unless all of it watches itself."""
+    if len(watch.state.readers) <= READERS:
+        tell_zone(watch.links, members, removed)
 
 
 def take_config(watch: Watch, value: bytes, source: str) -> None:
@@ -101,6 +125,8 @@
         routes=len(table.routes),
         source=source,
     )
+    if source == "store":
+        tell_standbys(watch, [], [])
 
 
 def _take_operator_row(watch: Watch, row: StoredRow) -> None:
@@ -110,13 +136,8 @@
         return
     order = watch.formats.decode_order(row)
     if order is not None and take_order(watch.state, order):
-        watch.context.record(
-            EventKind.MOVE_ORDERED,
-            service=order.service,
-            version=order.to_version,
-            duration_s=order.duration_s,
-            order=order.number,
-        )
+        log_order(watch.context, order, "store")
+        tell_standbys(watch, [], [])
 
 
 def _take_fleet_row(watch: Watch, row: StoredRow) -> None:
@@ -125,6 +146,7 @@
         record = move_from_wire(msgpack.unpackb(row.value))
         if take_move(watch.state, record, now_s, stored=True):
             log_move(watch.context, record, "store")
+            tell_standbys(watch, [], [])
     if not row.key.startswith(MEMBER_PREFIX):
         return
     host = row.key.removeprefix(MEMBER_PREFIX)
@@ -133,9 +155,13 @@
         return
     if row.deleted:
         watch.member_versions.pop(host, None)
-        if watch.state.members.pop(host, None) is not None:
-            forget_derived(watch.state)
-            follow_members(watch.links)
+        held = watch.state.members.get(host)
+        if held is None:
+            return
+        # The host itself is told as well, while there is still a link to it.
+        tell_standbys(watch, [], [(host, *held.pair)])
+        drop_member(watch.state, host, held.pair)
+        follow_members(watch.links)
         return
     watch.member_versions[host] = row.version
     member = member_from_wire(msgpack.unpackb(row.value))
@@ -152,13 +178,14 @@
             source="store",
         )
         follow_members(watch.links)
+        tell_standbys(watch, [member], [])
 
 
 def _take_own_row(watch: Watch, row: StoredRow) -> None:
     """Learn the version of this host's row, and of an incarnation before this one."""
     watch.row_version = 0 if row.deleted else row.version
     if row.deleted:
-        watch.row_value = None
+        _begin_again(watch)
     elif row.value != watch.row_value:
         before = member_from_wire(msgpack.unpackb(row.value))
         own = watch.state.own
@@ -194,6 +221,9 @@
     version: int | None = None
     retry_s = FIRST_RETRY_S
     while True:
+        if not must_watch(watch):
+            await clock.sleep(STANDBY_PERIOD_S)
+            continue
         try:
             if version is None:
                 changes = await watch.context.store.read_table(table)
@@ -212,6 +242,7 @@
             retry_s = min(retry_s * 2, MAX_RETRY_S)
             continue
         _note_back(watch, table)
+        watch.answered_s[table] = clock.monotonic_s()
         retry_s = FIRST_RETRY_S
         version = max(changes.version, version or 0)
         _take_rows(watch, changes, take)
@@ -220,6 +251,46 @@
             await clock.sleep(settle_s)
 
 
+def follow_readers(watch: Watch) -> None:
+    """Note which hosts watch the store for this zone, and whether this one does."""
+    state, links = watch.state, watch.links.links
+    hosts = [
+        member.host
+        for member in all_members(state)
+        if member.zone == state.own.zone
+        and member.usable
+        and (member.host not in links or links[member.host].usable)
+    ]
+    readers = readers_of(hosts)
+    if readers != state.readers:
+        state.readers = readers
+        follow_members(watch.links)
+    now_s = watch.context.clock.monotonic_s()
+    answered_s = min(
+        (watch.answered_s.get(table, -1e9) for table in _tables(watch)),
+        default=-1e9,
+    )
+    recent = now_s - answered_s < FEED_WAIT_S + ANSWER_MARGIN_S
+    state.watching = must_watch(watch) and recent and not watch.lost
+
+
+def _tables(watch: Watch) -> tuple[str, str]:
+    return (watch.formats.table, FLEET_TABLE)
+
+
+def must_watch(watch: Watch) -> bool:
+    """Return whether this node waits for the store's changes itself."""
+    state = watch.state
+    if not state.readers or state.own.host in state.readers or state.table is None:
+        return True
+    now_s = watch.context.clock.monotonic_s()
+    links = watch.links.links
+    return not any(
+        host in links and now_s - links[host].watching_s < COVERED_S
+        for host in state.readers
+    )
+
+
 def _drop_missing(watch: Watch, changes: Changes) -> None:
     """Forget hosts whose rows were removed while nothing could be read."""
     present = {row.key for row in changes.rows}
@@ -228,11 +299,20 @@
             row = StoredRow(FLEET_TABLE, MEMBER_PREFIX + host, b"", deleted=True)
             _take_fleet_row(watch, row)
     if MEMBER_PREFIX + watch.state.own.host not in present:
-        watch.row_version = 0
-        watch.row_value = None
+        _begin_again(watch)
         watch.state.news.set()
 
 
+def _begin_again(watch: Watch) -> None:
+    """Write this host's row once more, as news: others have buried the entry it had."""
+    if watch.row_value is not None:
+        own = watch.state.own
+        watch.state.own = attrs.evolve(own, sequence=own.sequence + 1)
+        tell_all(watch.links)
+    watch.row_version = 0
+    watch.row_value = None
+
+
 def _note_lost(watch: Watch, table: str, reason: str) -> None:
     if table not in watch.lost:
         watch.lost.add(table)
@@ -264,6 +344,9 @@
     while True:
         await watch.state.news.wait()
         watch.state.news.clear()
+        if watch.state.own_row_lost:
+            watch.state.own_row_lost = False
+            _begin_again(watch)
         while not await try_write_own_row(watch):
             await clock.sleep(retry_s * (0.5 + random.random()))
             retry_s = min(retry_s * 2, MAX_RETRY_S)
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -12,7 +12,7 @@
 from agaterelay.core.model import MoveState
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
-from agaterelay.core.trial import MoveRecord, RouteTallies
+from agaterelay.core.trial import MoveRecord, Order, RouteTallies
 from agaterelay.mesh.gate import Ran
 
 _ANSWERED, _NOT_RUN, _UNKNOWN = 0, 1, 2
@@ -149,6 +149,23 @@
         raise ValueError(f"not a move: {error}") from error
 
 
+def order_to_wire(order: Order) -> list[Any]:
+    """Return an operator's order of a move."""
+    return [order.service, order.to_version, order.duration_s, order.number]
+
+
+def order_from_wire(plain: list[Any]) -> Order:
+    """Return an operator's order of a move.
+
+    Raises:
+        ValueError: It is none.
+    """
+    try:
+        return Order(*plain)
+    except TypeError as error:
+        raise ValueError(f"not an order: {error}") from error
+
+
 def tallies_to_wire(tallies: RouteTallies) -> dict[str, list[Any]]:
     """Return tallies by route."""
     return {
--- /dev/null
+++ b/tests/mesh/test_readers.py
@@ -0,0 +1,123 @@
+"""In a large zone a few nodes watch the store, and the others hear from them."""
+
+import asyncio
+
+import pytest
+
+from standins.instance import announce
+from standins.store import put_row
+from tests.mesh.fleet import (
+    ROUTES,
+    add_host,
+    admin_of,
+    ask,
+    config,
+    kill_node,
+    route,
+    running_fleet,
+    until,
+)
+
+
+@pytest.fixture(autouse=True)
+def one_reader(monkeypatch):
+    monkeypatch.setattr("agaterelay.core.neighbours.MAX_WATCHERS", 1)
+    monkeypatch.setattr("agaterelay.core.neighbours.READERS", 1)
+    monkeypatch.setattr("agaterelay.mesh.watch.READERS", 1)
+    monkeypatch.setattr("agaterelay.mesh.watch.FEED_WAIT_S", 0.5)
+
+
+def watching(fleet):
+    return [host for host in fleet.hosts if host.node and host.node.state.watching]
+
+
+async def settle(fleet):
+    """Wait until one node alone watches and no other feed is open."""
+    await until(lambda: len(watching(fleet)) == 1)
+    await asyncio.sleep(0.8)
+    assert len(watching(fleet)) == 1
+
+
+def test_one_node_asks_the_store_and_all_are_up_to_date():
+    async def play():
+        async with running_fleet(("desk", "desk", "panel")) as fleet:
+            await settle(fleet)
+            fleet.store.calls.clear()
+            await put_row(
+                fleet.store, "op", "config", config(2, [*ROUTES, route("/n/")])
+            )
+            nodes = [host.node for host in fleet.hosts]
+            await until(lambda: all(n.state.table.revision == 2 for n in nodes), 1.0)
+            order = b'{"service":"desk","to":"v2","duration":"12s"}'
+            await put_row(fleet.store, "op", "rollout/desk", order)
+            await until(lambda: all("desk" in n.state.orders for n in nodes), 1.0)
+            feeds = [call for call in fleet.store.calls if call == "/v1/rows-feed"]
+            assert len(feeds) <= 10
+
+    asyncio.run(play())
+
+
+def test_when_the_reader_is_killed_another_takes_over():
+    async def play():
+        async with running_fleet(("desk", "desk", "panel")) as fleet:
+            await settle(fleet)
+            await kill_node(watching(fleet)[0])
+            await put_row(fleet.store, "op", "config", config(2, ROUTES))
+            nodes = [host.node for host in fleet.hosts if host.node]
+            await until(lambda: all(n.state.table.revision == 2 for n in nodes), 2.0)
+
+    asyncio.run(play())
+
+
+def test_when_the_store_refuses_the_reader_the_others_ask_themselves():
+    async def play():
+        async with running_fleet(("desk", "desk", "panel")) as fleet:
+            await settle(fleet)
+            reader = watching(fleet)[0]
+            reader.store._base = "http://127.0.0.1:1"
+            await put_row(fleet.store, "op", "config", config(2, ROUTES))
+            others = [host.node for host in fleet.hosts if host is not reader]
+            await until(lambda: all(n.state.table.revision == 2 for n in others), 2.0)
+            await until(lambda: reader.node.state.table.revision == 2, 2.0)
+
+    asyncio.run(play())
+
+
+def test_a_host_that_joins_is_known_to_all_and_one_removed_is_forgotten():
+    async def play():
+        async with running_fleet(("desk", "desk")) as fleet:
+            await settle(fleet)
+            joined = await add_host(fleet, "panel")
+            await announce(joined.instance, admin_of(joined))
+            address = joined.deployment.link_address
+            first = fleet.hosts[:2]
+            await until(
+                lambda: all(
+                    address in host.node.state.members
+                    and host.node.state.members[address].upstreams
+                    for host in first
+                )
+            )
+            assert (await ask(fleet, first[0]))[0] == 200
+
+    asyncio.run(play())
+
+
+def test_a_row_that_was_removed_by_mistake_is_written_again():
+    async def play():
+        async with running_fleet(("desk", "desk")) as fleet:
+            await settle(fleet)
+            standby = next(host for host in fleet.hosts if not host.node.state.watching)
+            key = ("agaterelay", "", f"member/{standby.deployment.link_address}")
+            del fleet.store.rows[key]
+            gone = {"table": key[0], "part": "", "key": key[2], "deleted": True}
+            fleet.store.version += 1
+            fleet.store.log.append({**gone, "ver": fleet.store.version})
+            await put_row(fleet.store, "other", "wake", b"")
+            await until(lambda: key in fleet.store.rows)
+            reader = watching(fleet)[0].node.state
+            host = standby.deployment.link_address
+            await until(lambda: host in reader.members)
+            assert reader.members[host].upstreams == standby.node.state.own.upstreams
+
+    asyncio.run(play())
