--- a/tests/mesh/test_restarts.py
+++ b/tests/mesh/test_restarts.py
@@ -160,7 +160,8 @@
             host = fleet.hosts[0]
             key = f"member/{host.deployment.link_address}"
             await until(lambda: row_of(fleet.store, "agaterelay", key) is not None)
-            fleet.store.faults.late_s = 0.8
+            # Later than the node waits for an answer, so that a newer write comes first.
+            fleet.store.faults.late_s = 2.5
             await announce(host.instance, admin_of(host), "draining")
             fleet.store.faults.late_s = 0.0
             host.instance.born_ms += 5_000
@@ -173,7 +174,7 @@
 
             await until(lambda: stored_start() == host.instance.born_ms)
             written = len(fleet.store.log)
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(2.0)
             assert stored_start() == host.instance.born_ms
             # Not even for a moment did the late write stand there.
             assert not [row for row in fleet.store.log[written:] if row["key"] == key]
