Split links and entry by what they do; keep test nodes' addresses for themselves

Moves of code only: the state of links (link.py), what nodes tell each other (news.py), the state of an entry (journey.py), its choices (choosing.py).

--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -25,9 +25,9 @@
 from agaterelay.core.timeline import Timeline
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import take_announcement, take_withdrawal
-from agaterelay.mesh.entry import Entry, Request
 from agaterelay.mesh.gate import Gate, WireFormat
-from agaterelay.mesh.links import Links
+from agaterelay.mesh.journey import Entry, Request
+from agaterelay.mesh.link import Links
 from agaterelay.mesh.meters import Meters
 from agaterelay.mesh.mover import Mover, VerdictFormat
 from agaterelay.mesh.node import (
--- a/agaterelay/mesh/entry.py
+++ b/agaterelay/mesh/entry.py
@@ -10,37 +10,26 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import Callable
 
-import attrs
-
-from agaterelay.core.call import Call, RawHeaders
+from agaterelay.core.call import Call
 from agaterelay.core.membership import Member, UpstreamInfo
-from agaterelay.core.model import Route, RouteTable
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
-from agaterelay.core.placing import (
-    LoadReport,
-    RouteCosts,
-    TargetLoad,
-    cheapest,
-    expected_ms,
-    note_answer,
-)
-from agaterelay.core.rendezvous import rank
-from agaterelay.core.retry_budget import RetryBudget, earn, share_slack, spend
-from agaterelay.core.trial import should_brake, trial_share
-from agaterelay.core.weighted import Split, next_part, spread_from
+from agaterelay.core.placing import LoadReport, TargetLoad, note_answer
+from agaterelay.core.retry_budget import earn, share_slack, spend
+from agaterelay.core.trial import should_brake
 from agaterelay.events import EventKind
-from agaterelay.mesh.gate import Ran
-from agaterelay.mesh.links import (
-    LinkDownError,
-    Links,
-    is_usable,
-    load_of,
-    send_call,
+from agaterelay.mesh.choosing import (
+    choose_service,
+    choose_version,
+    match_request,
+    place,
+    target_left_s,
 )
-from agaterelay.mesh.state import Context, MeshState, targets_of, versions_of
+from agaterelay.mesh.gate import Ran
+from agaterelay.mesh.journey import Entry, Journey, Request
+from agaterelay.mesh.link import LinkDownError
+from agaterelay.mesh.links import load_of, send_call
+from agaterelay.mesh.state import versions_of
 
 # Gates that are asked in turn; more would cost more than the caller gains.
 MAX_PLACEMENTS = 4
@@ -57,171 +46,6 @@
 _NO_REPORT = LoadReport()
 
 
-@attrs.frozen
-class Request:
-    """What a caller asked for; ``wait_ms`` is how long it waits, if it says."""
-
-    call_id: str
-    method: str
-    host: str
-    path: str
-    headers: RawHeaders
-    body: bytes = attrs.field(repr=False)
-    wait_ms: int | None = None
-
-
-@attrs.define
-class TrialView:
-    """What this entry's own calls showed of a version on trial."""
-
-    credit: float
-    calls: int = 0
-    failures: int = 0
-
-
-@attrs.define
-class Entry:
-    """The entry's state."""
-
-    context: Context
-    state: MeshState
-    links: Links
-    budget: RetryBudget
-    draw: random.Random = attrs.field(factory=random.Random)
-    splits: dict[str, Split] = attrs.field(factory=dict)
-    trials: dict[tuple[str, int], TrialView] = attrs.field(factory=dict)
-    routes: dict[str, tuple[Route, ...]] = attrs.field(factory=dict)
-    routes_of: RouteTable | None = None
-    in_flight: int = 0
-    route_costs: dict[str, RouteCosts] = attrs.field(factory=dict)
-    full_wait_ms: dict[str, int] = attrs.field(factory=dict)
-    ending: bool = False
-    limits: set[asyncio.Timeout] = attrs.field(factory=set)
-    good: int = 0
-    count_end: Callable[[str, str, float], None] = lambda route, outcome, elapsed_s: (
-        None
-    )
-
-
-@attrs.define
-class Journey:
-    """One request on its way; times are on the steady clock."""
-
-    request: Request
-    route: Route
-    service: str
-    started_s: float
-    deadline_s: float
-    tried: set[str] = attrs.field(factory=set)
-    arrivals: int = 0
-    placements: int = 0
-    target_s: float = 0.0
-    last: Outcome | None = None
-    retry_after_s: float | None = None
-
-
-def match_request(entry: Entry, host: str, path: str) -> Route | None:
-    """Return the route of a host with the longest prefix that begins a path."""
-    table = entry.state.table
-    if entry.routes_of is not table:
-        by_host: dict[str, list[Route]] = {}
-        for route in table.routes if table else ():
-            by_host.setdefault(route.host, []).append(route)
-        entry.routes = {
-            name: tuple(sorted(routes, key=lambda item: -len(item.path)))
-            for name, routes in by_host.items()
-        }
-        entry.routes_of = table
-    for route in entry.routes.get(host, ()):
-        if path.startswith(route.path):
-            return route
-    return None
-
-
-def target_left_s(entry: Entry, route: Route, wait_ms: int | None) -> float:
-    """Return the time in which an answer is of full use to the caller.
-
-    A caller that comes back after a refusal has less time left than it had at first,
-    and by as much less for the target.
-    """
-    left_ms = float(route.target_latency_ms)
-    if wait_ms is None:
-        return left_ms / 1000
-    full_ms = entry.full_wait_ms.get(route.name, 0)
-    if wait_ms > full_ms:
-        full_ms = entry.full_wait_ms[route.name] = wait_ms
-    return (left_ms - (full_ms - wait_ms)) / 1000
-
-
-def choose_service(entry: Entry, route: Route) -> str:
-    """Return the service of the next call on a route."""
-    if not route.parts:
-        return route.service
-    split = entry.splits.get(route.name)
-    if split is None or split.parts != route.parts:
-        start = entry.draw.randrange(1 << 16)
-        split = entry.splits[route.name] = spread_from(route.parts, start)
-    return next_part(split)
-
-
-def choose_version(entry: Entry, service: str) -> tuple[str, bool]:
-    """Return the version for a first try, and whether it comes as a burst."""
-    serving, on_trial = versions_of(entry.state, service)
-    order = entry.state.orders.get(service)
-    if on_trial is None or order is None:
-        return serving, False
-    key = (service, order.number)
-    began_s = entry.state.trial_began_s.get(key)
-    if began_s is None or key in entry.state.braked:
-        return serving, False
-    trial = entry.trials.get(key)
-    if trial is None:
-        trial = entry.trials[key] = TrialView(credit=-entry.draw.random())
-    allowed = entry.context.deployment.bounds.expose_share
-    elapsed_s = entry.context.clock.monotonic_s() - began_s
-    share, burst = trial_share(allowed, elapsed_s)
-    trial.credit = min(trial.credit + share, 2.0)
-    if trial.credit < 1:
-        return serving, False
-    if not any(
-        is_usable(entry.links, member)
-        for member in targets_of(entry.state, service, on_trial)
-    ):
-        return serving, False
-    trial.credit -= 1
-    return on_trial, burst
-
-
-def place(
-    entry: Entry, journey: Journey, version: str, burst: bool
-) -> tuple[Member, UpstreamInfo] | None:
-    """Choose the upstream for the next try, None where none can be reached."""
-    now_s = entry.context.clock.monotonic_s()
-    own = entry.state.own
-    members = [
-        member
-        for member in targets_of(entry.state, journey.service, version)
-        if member.host not in journey.tried and is_usable(entry.links, member)
-    ]
-    if burst and members:
-        first = rank([member.host for member in members], version)[0]
-        members = [member for member in members if member.host == first]
-
-    route = entry.route_costs.setdefault(journey.route.name, RouteCosts())
-
-    def cost_ms(member: Member) -> float:
-        return expected_ms(
-            load_of(entry.links, member.host),
-            member.upstreams[0].slots,
-            route,
-            member.zone == own.zone,
-            now_s,
-        )
-
-    chosen = cheapest(members, cost_ms, entry.draw)
-    return (chosen, chosen.upstreams[0]) if chosen is not None else None
-
-
 async def serve(entry: Entry, request: Request) -> Outcome:
     """Return how a caller's request ended."""
     started_s = entry.context.clock.monotonic_s()
--- /dev/null
+++ b/agaterelay/mesh/link.py
@@ -0,0 +1,60 @@
+"""The state of a node's links to others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from agaterelay.adapters.frames import FrameConnection
+from agaterelay.core.placing import TargetLoad
+from agaterelay.mesh.gate import Gate
+from agaterelay.mesh.state import Context, MeshState
+
+
+class LinkDownError(Exception):
+    """There is no connection to the host; nothing was sent."""
+
+
+@attrs.define
+class Link:
+    """The connection that this node dialled to another.
+
+    ``repeatable`` are the pending calls that may be given up while their outcome is
+    not known, since they can be sent to another upstream.
+    """
+
+    host: str
+    connection: FrameConnection | None = None
+    pending: dict[int, asyncio.Future[Any]] = attrs.field(factory=dict)
+    repeatable: set[int] = attrs.field(factory=set)
+    heard_s: float = 0.0
+    pinged_s: float | None = None
+    usable: bool = False
+    # When the other last said that it watches the store.
+    watching_s: float = -1e9
+    lost_s: float = 0.0
+    load: TargetLoad = attrs.field(factory=TargetLoad)
+    dialer: asyncio.Task[None] | None = None
+
+
+@attrs.define
+class Links:
+    """All links of a node, and the calls that others run through it."""
+
+    context: Context
+    state: MeshState
+    gate: Gate
+    take_table: Callable[[bytes], None]
+    links: dict[str, Link] = attrs.field(factory=dict)
+    running: dict[tuple[FrameConnection, int], asyncio.Task[None]] = attrs.field(
+        factory=dict
+    )
+    next_number: int = 0
+    accepted: set[FrameConnection] = attrs.field(factory=set)
+    own_load: TargetLoad = attrs.field(factory=TargetLoad)
+    server: asyncio.Server | None = None
+    asked_table_s: float = -1.0
+    behind_s: float | None = None
--- a/agaterelay/mesh/mover.py
+++ b/agaterelay/mesh/mover.py
@@ -25,7 +25,9 @@
     sum_tallies,
 )
 from agaterelay.events import EventKind
-from agaterelay.mesh.links import Links, ask_tallies, is_usable, log_move, tell_all
+from agaterelay.mesh.link import Links
+from agaterelay.mesh.links import ask_tallies, is_usable
+from agaterelay.mesh.news import log_move, tell_all
 from agaterelay.mesh.state import (
     Context,
     MeshState,
--- /dev/null
+++ b/agaterelay/mesh/news.py
@@ -0,0 +1,217 @@
+"""What nodes tell each other on their links: hosts, moves, orders, revisions.
+
+Whoever dials or is dialled tells all that it knows. After that a node tells changes of its
+own, and what it reads in the store where it watches for its zone. Every ping and answer
+carries a revision, and a node that is behind asks for the document.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from agaterelay.adapters.frames import Frame, FrameConnection
+from agaterelay.core.membership import Member
+from agaterelay.core.trial import MoveRecord, Order
+from agaterelay.events import EventKind
+from agaterelay.mesh.link import Links
+from agaterelay.mesh.state import (
+    Context,
+    all_members,
+    drop_member,
+    revision_of,
+    take_member,
+    take_move,
+    take_order,
+)
+from agaterelay.mesh.wire import (
+    member_from_wire,
+    member_to_wire,
+    move_from_wire,
+    move_to_wire,
+    order_from_wire,
+    order_to_wire,
+)
+
+# How long a node that is behind waits for its own zone before it asks another one.
+OTHER_ZONE_DELAY_S = 0.5
+# A node that has asked for the document waits this long before it asks again.
+ASK_AGAIN_S = 0.3
+
+
+def greet(links: Links, connection: FrameConnection) -> None:
+    """Tell a node all that this one knows."""
+    state = links.state
+    members = [member_to_wire(member) for member in all_members(state)]
+    moves = [move_to_wire(record) for record in state.moves.values()]
+    orders = [order_to_wire(order) for order in state.orders.values()]
+    connection.send(
+        [
+            Frame.HELLO,
+            state.own.host,
+            revision_of(state),
+            members,
+            moves,
+            orders,
+            [],
+            state.watching,
+        ]
+    )
+
+
+def tell_all(links: Links) -> None:
+    """Tell all linked nodes of this host's entry, of all moves and orders."""
+    _tell(links, [links.state.own], [], own_zone_only=False)
+
+
+def tell_zone(
+    links: Links, members: Iterable[Member], removed: Iterable[tuple[str, int, int]]
+) -> None:
+    """Tell the own zone what this node read in the store for all of it.
+
+    Args:
+        links: The links.
+        members: The hosts whose entries are news.
+        removed: The hosts whose rows were removed, with their last pairs.
+    """
+    _tell(links, members, removed, own_zone_only=True)
+
+
+def _tell(
+    links: Links,
+    members: Iterable[Member],
+    removed: Iterable[tuple[str, int, int]],
+    own_zone_only: bool,
+) -> None:
+    state = links.state
+    frame = [
+        Frame.NEWS,
+        state.own.host,
+        revision_of(state),
+        [member_to_wire(member) for member in members],
+        [move_to_wire(record) for record in state.moves.values()],
+        [order_to_wire(order) for order in state.orders.values()],
+        [list(item) for item in removed],
+        state.watching,
+    ]
+    told = set()
+    for link in links.links.values():
+        if own_zone_only and not _in_own_zone(links, link.host):
+            continue
+        if link.connection is not None and link.connection.send(frame):
+            told.add(link.host)
+    for connection in links.accepted:
+        host = connection.host
+        if host not in told and (not own_zone_only or _in_own_zone(links, host)):
+            connection.send(frame)
+
+
+def _in_own_zone(links: Links, host: str) -> bool:
+    member = links.state.members.get(host)
+    return member is not None and member.zone == links.state.own.zone
+
+
+def take_news(links: Links, connection: FrameConnection, frame: list[Any]) -> bool:
+    """Take in what another node tells; return whether hosts have changed."""
+    _, host, revision, members, moves, orders, removed, watching = frame
+    connection.host = host
+    note_watching(links, host, watching)
+    links.state.fleet_known |= len(members) > 1
+    changed = False
+    for plain in members:
+        member = member_from_wire(plain)
+        if member.host == links.state.own.host:
+            _note_older_self(links, member)
+        changed |= take_member(links.state, member)
+    for gone, incarnation, sequence in removed:
+        if gone == links.state.own.host:
+            links.state.own_row_lost = True
+            links.state.news.set()
+        else:
+            changed |= drop_member(links.state, gone, (incarnation, sequence))
+    for plain in orders:
+        if take_order(links.state, order_from_wire(plain)):
+            log_order(links.context, order_from_wire(plain), f"link {host}")
+    now_s = links.context.clock.monotonic_s()
+    for plain in moves:
+        record = move_from_wire(plain)
+        if take_move(links.state, record, now_s):
+            log_move(links.context, record, f"link {host}")
+    note_revision(links, connection, revision)
+    return changed
+
+
+def _note_older_self(links: Links, member: Member) -> None:
+    """Begin a higher incarnation where others know a later start of this host."""
+    own = links.state.own
+    if member.incarnation > own.incarnation:
+        links.state.own = attrs.evolve(own, incarnation=member.incarnation + 1)
+        links.state.news.set()
+        tell_all(links)
+
+
+def log_move(context: Context, record: MoveRecord, source: str) -> None:
+    """Log what this node now believes of a move."""
+    context.record(
+        EventKind.MOVE_FINISHED if record.final else EventKind.MOVE_STEPPED,
+        service=record.service,
+        version=record.to_version,
+        state=str(record.state),
+        reason=record.reason,
+        source=source,
+    )
+
+
+def log_order(context: Context, order: Order, source: str) -> None:
+    """Log an order that this node has heard of."""
+    context.record(
+        EventKind.MOVE_ORDERED,
+        service=order.service,
+        version=order.to_version,
+        duration_s=order.duration_s,
+        order=order.number,
+        source=source,
+    )
+
+
+def note_watching(links: Links, host: str, watching: bool) -> None:
+    """Note whether a host says that it watches the store."""
+    link = links.links.get(host)
+    if link is not None:
+        now_s = links.context.clock.monotonic_s()
+        link.watching_s = now_s if watching else -1e9
+
+
+def note_revision(links: Links, connection: FrameConnection, revision: int) -> None:
+    """Ask for the configuration where the other node is ahead.
+
+    A node of another zone is asked only where none of the own zone has it soon: a
+    document is large, and bytes between zones are dear.
+    """
+    if revision <= revision_of(links.state):
+        links.behind_s = None
+        return
+    now_s = links.context.clock.monotonic_s()
+    if links.behind_s is None:
+        links.behind_s = now_s
+    waited = now_s - links.behind_s >= OTHER_ZONE_DELAY_S
+    if not waited and not _in_own_zone(links, connection.host):
+        return
+    if now_s - links.asked_table_s < ASK_AGAIN_S:
+        return
+    links.asked_table_s = now_s
+    connection.send([Frame.WANT_TABLE])
+
+
+def take_table_frame(
+    links: Links, connection: FrameConnection, frame: list[Any]
+) -> None:
+    """Hand out the configuration in force, or take in another node's."""
+    if frame[0] == Frame.WANT_TABLE and links.state.table is not None:
+        packed = zlib.compress(links.state.table.source, 3)
+        connection.send([Frame.TABLE, packed])
+    elif frame[0] == Frame.TABLE:
+        links.take_table(zlib.decompress(frame[1]))
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -18,15 +18,11 @@
 from agaterelay.core.retry_budget import RetryBudget, budget_of
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
-from agaterelay.mesh.entry import (
-    Entry,
-    Request,
-    follow_fleet_size,
-    give_up_rest,
-    serve,
-)
+from agaterelay.mesh.entry import follow_fleet_size, give_up_rest, serve
 from agaterelay.mesh.gate import Gate, follow_line
-from agaterelay.mesh.links import Links, follow_members, start_links, watch_links
+from agaterelay.mesh.journey import Entry, Request
+from agaterelay.mesh.link import Links
+from agaterelay.mesh.links import follow_members, start_links, watch_links
 from agaterelay.mesh.meters import Meters
 from agaterelay.mesh.mover import Mover, run_mover
 from agaterelay.mesh.servers import (
--- a/agaterelay/mesh/watch.py
+++ b/agaterelay/mesh/watch.py
@@ -20,14 +20,9 @@
 from agaterelay.core.rendezvous import rank
 from agaterelay.core.trial import Order
 from agaterelay.events import EventKind
-from agaterelay.mesh.links import (
-    Links,
-    follow_members,
-    log_move,
-    log_order,
-    tell_all,
-    tell_zone,
-)
+from agaterelay.mesh.link import Links
+from agaterelay.mesh.links import follow_members
+from agaterelay.mesh.news import log_move, log_order, tell_all, tell_zone
 from agaterelay.mesh.state import (
     Context,
     MeshState,
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import os
 import socket
 
 import aiohttp
@@ -24,6 +26,8 @@
 from standins.store import StandInStore, put_row, start_store
 
 PATIENCE_S = 5.0
+PORT = 7400
+_NUMBERS = itertools.count()
 
 
 class Sink:
@@ -33,10 +37,20 @@
 
 
 def free_address():
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that nothing listens on.
+
+    No outgoing connection gets one of these as its own, as one could get a free port of
+    127.0.0.1 while a node that was killed is not yet started again.
+    """
+    while True:
+        number = next(_NUMBERS)
+        host = f"127.{100 + os.getpid() % 100}.{number // 250}.{number % 250 + 1}"
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, PORT))
+            except OSError:
+                continue
+            return f"{host}:{PORT}"
 
 
 async def until(condition, patience_s=PATIENCE_S):
