--- a/agaterelay/core/trial.py
+++ b/agaterelay/core/trial.py
@@ -18,11 +18,14 @@
 from agaterelay.core.verdict import compare_rates, count_slow, slow_bucket
 
 # The part of the users' bound on exposure that is used on average.
-EXPOSURE_PART = 0.75
-BURST_PERIOD_S = 3.0
-BURST_S = 0.6
+EXPOSURE_PART = 0.7
+# A burst brings the calls that the share allows for a whole period at once, since that
+# is what fills the slots of one upstream also where a service gets few calls.
+BURST_PERIOD_S = 4.0
+BURST_BEGINS_S = 1.0
+BURST_S = 0.25
 # Part of the allowed share outside of bursts; the bursts use up the rest.
-CALM_PART = 0.5
+CALM_PART = 0.3
 # When in the move's time the verdict falls, if nothing speaks against it before.
 VERDICT_PART = 0.62
 LAST_VERDICT_PART = 0.85
@@ -84,10 +87,11 @@
     """
     mean = EXPOSURE_PART * allowed_share
     calm = CALM_PART * mean
-    if elapsed_s % BURST_PERIOD_S < BURST_PERIOD_S - BURST_S:
+    since_burst_s = elapsed_s % BURST_PERIOD_S - BURST_BEGINS_S
+    if not 0 <= since_burst_s < BURST_S:
         return calm, False
     burst = (mean * BURST_PERIOD_S - calm * (BURST_PERIOD_S - BURST_S)) / BURST_S
-    return burst, True
+    return min(burst, 1.0), True
 
 
 def sum_tallies(reports: Iterable[Mapping[str, Tally]]) -> RouteTallies:
--- a/tests/core/test_trial.py
+++ b/tests/core/test_trial.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, strategies as st
 
 from agaterelay.core.evidence import Tally, count_call
@@ -59,6 +60,19 @@
     assert mean <= allowed
 
 
+@pytest.mark.parametrize("calls_per_s", [60, 150, 560])
+def test_bursts_fill_the_slots_of_one_upstream_also_with_few_calls(calls_per_s):
+    work_s, slots = 0.145, 9
+    in_burst = [
+        index / 1000 for index in range(16_000) if trial_share(0.1, index / 1000)[1]
+    ]
+    share, _ = trial_share(0.1, in_burst[0])
+    arriving = share * calls_per_s * min(work_s, 0.25)
+    assert arriving >= 0.75 * slots
+    early = [moment for moment in in_burst if moment < 0.62 * 14.45]
+    assert len({int(moment) for moment in early}) >= 2
+
+
 def test_failures_slowness_and_one_bad_route_are_found():
     old = {"read": tally(300, 2), "fire": tally(150, 0)}
     assert find_fault(old, {"read": tally(40, 12), "fire": tally(20)})
