Give up on heads and bodies that stay out; limit headers together; log what is refused before its route

Cause: the configuration's header time limit was decoded and not enforced: a head that never ended held its connection for good, as did a body of which nothing came. Headers were limited one by one, so 128 of them might be 2 MB. Refusals of that kind, and of a stopping node, left no line in the log. Ruled out: connections on which nothing came at all, bodies over the limit and requests whose end is doubtful were refused before already; their tests are added and passed. Change: mesh/callers.py holds the callers' server; a timer runs only while a head is incomplete (408), a body's next part is waited for as long as a connection may be idle (408), headers count together (431); event 409 with the request's id and status. Before: 6 of the 12 tests of tests/mesh/test_caller_limits.py failed. After: all pass.

--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -25,6 +25,7 @@
 from agaterelay.core.timeline import Timeline
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import take_announcement, take_withdrawal
+from agaterelay.mesh.callers import CallersServer
 from agaterelay.mesh.gate import Gate, WireFormat
 from agaterelay.mesh.journey import Entry, Request
 from agaterelay.mesh.link import Links
@@ -36,9 +37,9 @@
     is_ready,
     new_budget,
     own_member,
+    record_refused,
     run_node,
 )
-from agaterelay.mesh.servers import CallersServer
 from agaterelay.mesh.state import Context, MeshState, revision_of
 from agaterelay.mesh.watch import OperatorFormat, Watch, take_config
 from agaterelay.platform import announcements, config, headers, orders, settings
@@ -154,7 +155,7 @@
     async def callers(request: web.BaseRequest) -> web.StreamResponse:
         return await answer_caller(node, request, make_request)
 
-    node.callers = CallersServer(callers, node.state)
+    node.callers = CallersServer(callers, node.state, partial(record_refused, node))
     platform = partial(answer_platform, node, sink)
     return [
         (node.callers, deployment.calls_address),
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -6,6 +6,7 @@
 import gc
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -14,10 +15,12 @@
 from agaterelay.core.announcement import UpstreamState
 from agaterelay.core.deployment import Bounds, Deployment
 from agaterelay.core.membership import Member
+from agaterelay.core.model import CallerLimits
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.core.retry_budget import RetryBudget, budget_of
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
+from agaterelay.mesh.callers import CallersServer, read_whole
 from agaterelay.mesh.entry import follow_fleet_size, give_up_rest, serve
 from agaterelay.mesh.gate import Gate, follow_line
 from agaterelay.mesh.journey import Entry, Request
@@ -26,10 +29,8 @@
 from agaterelay.mesh.meters import Meters
 from agaterelay.mesh.mover import Mover, run_mover
 from agaterelay.mesh.servers import (
-    CallersServer,
     Listening,
     listen,
-    read_whole,
     response_of,
     stop_listening,
 )
@@ -103,21 +104,19 @@
     node: Node, request: web.BaseRequest, make_request: Callable[..., Request]
 ) -> web.StreamResponse:
     """Serve one request of a caller."""
-    if node.closing:
-        # The body is not read: the connection ends with this answer.
-        response = response_of(NotRun("the node is stopping", CLOSING_RETRY_S))
-        response.force_close()
-        return response
-    table = node.state.table
-    max_bytes = table.limits.max_body_bytes if table else 1 << 20
-    body = await read_whole(request, max_bytes)
-    if body is None:
-        response = web.Response(status=413, text="the body is too large\n")
-        response.force_close()
-        return response
+    body: bytes | int = b""
+    if not node.closing:
+        table = node.state.table
+        body = await read_whole(request, table.limits if table else CallerLimits())
     wanted = make_request(
-        request.method, request.raw_path, request.raw_headers, request.headers, body
+        request.method,
+        request.raw_path,
+        request.raw_headers,
+        request.headers,
+        b"" if isinstance(body, int) else body,
     )
+    if node.closing or isinstance(body, int):
+        return _refuse(node, wanted.call_id, body)
     outcome = await serve(node.entry, wanted)
     response = response_of(outcome)
     if node.state.stopping or _should_close(node, outcome):
@@ -125,6 +124,33 @@
     return response
 
 
+def _refuse(node: Node, call_id: str, body: bytes | int) -> web.Response:
+    """Refuse a request before its route is sought, and end its connection.
+
+    Args:
+        node: The node.
+        call_id: The request's id, as its caller gave it.
+        body: The status that says what is wrong with the request, or its body where
+            nothing is and the node is stopping.
+    """
+    if isinstance(body, int):
+        reason = HTTPStatus(body).phrase
+        response = web.Response(status=body, text=f"{reason}\n")
+    else:
+        reason = "the node is stopping"
+        response = response_of(NotRun(reason, CLOSING_RETRY_S))
+    record_refused(node, reason, response.status, call_id)
+    response.force_close()
+    return response
+
+
+def record_refused(node: Node, reason: str, status: int, call_id: str = "") -> None:
+    """Log that a request was refused before its route was sought."""
+    node.context.record(
+        EventKind.REQUEST_REFUSED, request_id=call_id, reason=reason, status=status
+    )
+
+
 def _should_close(node: Node, outcome: Outcome) -> bool:
     """Return whether a caller's connection ends with this answer.
 
--- /dev/null
+++ b/tests/mesh/test_caller_limits.py
@@ -0,0 +1,160 @@
+"""What a caller may send, how long it may take, and how long it may stay idle."""
+
+import asyncio
+import json
+
+import pytest
+
+from standins.store import put_row
+from tests.mesh.fleet import ROUTES, config, running_fleet, until
+
+HEAD = b"GET /read/x HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: slow\r\n"
+PATIENCE_S = 5.0
+
+
+def with_limits(**limits):
+    """Return a configuration whose limits differ from the usual ones."""
+    document = json.loads(config(2, ROUTES))
+    document["limits"].update(limits)
+    return json.dumps(document).encode()
+
+
+async def use_limits(fleet, **limits):
+    await put_row(fleet.store, "op", "config", with_limits(**limits))
+    node = fleet.hosts[0].node
+    await until(lambda: node.state.table.revision == 2)
+
+
+async def connect(fleet):
+    host, port = fleet.hosts[0].deployment.calls_address.rsplit(":", 1)
+    return await asyncio.open_connection(host, int(port))
+
+
+async def read_to_end(reader):
+    """Return all that comes until the connection is closed; fail where it stays."""
+    async with asyncio.timeout(PATIENCE_S):
+        return await reader.read()
+
+
+def status_of(answer):
+    return int(answer.split(b" ", 2)[1])
+
+
+def test_a_head_that_does_not_end_is_given_up_on():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            await use_limits(fleet, headerTimeout="200ms")
+            reader, writer = await connect(fleet)
+            writer.write(HEAD)
+            assert status_of(await read_to_end(reader)) == 408
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_a_trickled_head_gets_no_more_time_than_a_silent_one():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            await use_limits(fleet, headerTimeout="300ms")
+            reader, writer = await connect(fleet)
+            writer.write(HEAD)
+            answer = asyncio.create_task(read_to_end(reader))
+            while not answer.done():
+                writer.write(b"X-More: 1\r\n")
+                await asyncio.sleep(0.05)
+            assert status_of(answer.result()) == 408
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_the_limit_holds_for_later_requests_of_a_connection_too():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            await use_limits(fleet, headerTimeout="300ms")
+            reader, writer = await connect(fleet)
+            writer.write(HEAD + b"\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert status_of(head) == 200
+            # Idle for longer than a head may take: that is allowed.
+            await asyncio.sleep(0.6)
+            writer.write(HEAD)
+            assert b"HTTP/1.1 408" in await read_to_end(reader)
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_a_connection_on_which_nothing_comes_is_closed_without_an_answer():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            await use_limits(fleet, idleTimeout="200ms")
+            reader, writer = await connect(fleet)
+            assert await read_to_end(reader) == b""
+            writer.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "size", [b"Content-Length: 8\r\n\r\nab", b"Transfer-Encoding: chunked\r\n\r\n2\r\n"]
+)
+def test_a_body_that_stays_out_is_given_up_on(size):
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            await use_limits(fleet, idleTimeout="200ms")
+            reader, writer = await connect(fleet)
+            writer.write(HEAD.replace(b"GET", b"POST") + size)
+            assert status_of(await read_to_end(reader)) == 408
+            assert not fleet.hosts[0].instance.ran
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_headers_are_limited_together_not_only_one_by_one():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            await use_limits(fleet, maxHeaderBytes=4096)
+            reader, writer = await connect(fleet)
+            more = b"".join(b"X-%d: %s\r\n" % (n, b"a" * 1000) for n in range(5))
+            writer.write(HEAD + more + b"\r\n")
+            assert status_of(await read_to_end(reader)) == 431
+            assert not fleet.hosts[0].instance.ran
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_a_body_over_the_limit_is_refused_before_it_is_read():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            await use_limits(fleet, maxBodyBytes=100)
+            reader, writer = await connect(fleet)
+            writer.write(HEAD.replace(b"GET", b"POST") + b"Content-Length: 101\r\n\r\n")
+            assert status_of(await read_to_end(reader)) == 413
+            assert not fleet.hosts[0].instance.ran
+            writer.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 4\r\nContent-Length: 5\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+        b"Content-Length : 4\r\n",
+    ],
+)
+def test_a_request_whose_end_is_doubtful_is_refused(lines):
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            reader, writer = await connect(fleet)
+            writer.write(HEAD.replace(b"GET", b"POST") + lines + b"\r\n0\r\n\r\n")
+            assert status_of(await read_to_end(reader)) in (400, 501)
+            assert not fleet.hosts[0].instance.ran
+            writer.close()
+
+    asyncio.run(play())
