Split the watching of the store into feeds, readers and this host's row; log requests that no route or configuration fits

Change: watch.py keeps what the tasks share, feeds.py follows the tables, readers.py says who watches, own_row.py writes this host's row and removes rows of hosts that are gone; event 409 covers all requests that are refused before placing. No behaviour of the feeds changed. Tests of mesh, platform, core pass (2 patched names follow the move).

--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -26,6 +26,7 @@
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import take_announcement, take_withdrawal
 from agaterelay.mesh.callers import CallersServer
+from agaterelay.mesh.feeds import take_config
 from agaterelay.mesh.gate import Gate, WireFormat
 from agaterelay.mesh.journey import Entry, Request
 from agaterelay.mesh.link import Links
@@ -41,7 +42,7 @@
     run_node,
 )
 from agaterelay.mesh.state import Context, MeshState, revision_of
-from agaterelay.mesh.watch import OperatorFormat, Watch, take_config
+from agaterelay.mesh.watch import OperatorFormat, Watch
 from agaterelay.platform import announcements, config, headers, orders, settings
 from agaterelay.platform.store import StoreClient
 from agaterelay.ports import Clock, Store
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -44,7 +44,7 @@
     CALL_REPEATED = (406, "A call is sent to another upstream.")
     BUDGET_SPENT = (407, "A call was not repeated: no repeats are left.")
     CALL_RAN = (408, "An upstream ran a call; a sample of the good ones is logged.")
-    REQUEST_REFUSED = (409, "A request was refused before its route was sought.")
+    REQUEST_REFUSED = (409, "A request was refused before it was placed anywhere.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node sends the new version no more work.")
     MOVE_FINISHED = (502, "A move is done or reverted.")
--- a/agaterelay/mesh/announcements.py
+++ b/agaterelay/mesh/announcements.py
@@ -16,7 +16,8 @@
 from agaterelay.core.membership import UpstreamInfo
 from agaterelay.events import EventKind
 from agaterelay.mesh.gate import Gate, begin_instance, follow_line, probe
-from agaterelay.mesh.watch import Watch, tell_own, try_write_own_row
+from agaterelay.mesh.own_row import tell_own, try_write_own_row
+from agaterelay.mesh.watch import Watch
 
 # A leave is confirmed within the second that the upstream waits, with the store or
 # without; the links have been told by then.
--- a/agaterelay/mesh/entry.py
+++ b/agaterelay/mesh/entry.py
@@ -29,7 +29,7 @@
 from agaterelay.mesh.journey import Entry, Journey, Request
 from agaterelay.mesh.link import LinkDownError
 from agaterelay.mesh.links import load_of, send_call
-from agaterelay.mesh.state import versions_of
+from agaterelay.mesh.state import revision_of, versions_of
 
 # Gates that are asked in turn; more would cost more than the caller gains.
 MAX_PLACEMENTS = 4
@@ -50,11 +50,13 @@
     """Return how a caller's request ended."""
     started_s = entry.context.clock.monotonic_s()
     if entry.state.table is None:
-        return NotRun("no configuration is known yet", NO_TABLE_RETRY_S)
+        return _refuse(
+            entry, request, NotRun("no configuration is known yet", NO_TABLE_RETRY_S)
+        )
     path = request.path.partition("?")[0]
     route = match_request(entry, request.host, path)
     if route is None:
-        return Answered(404, (), b"no route\n")
+        return _refuse(entry, request, Answered(404, (), b"no route\n"))
     wait_s = route.timeout_ms / 1000
     if request.wait_ms is not None:
         wait_s = min(wait_s, request.wait_ms / 1000)
@@ -80,6 +82,19 @@
     return outcome
 
 
+def _refuse(entry: Entry, request: Request, outcome: Outcome) -> Outcome:
+    """Log that a request is not placed, and return how it ends."""
+    answered = isinstance(outcome, Answered)
+    entry.context.record(
+        EventKind.REQUEST_REFUSED,
+        request_id=request.call_id,
+        reason=f"status {outcome.status}" if answered else outcome.reason,
+        host_named=request.host,
+        revision=revision_of(entry.state),
+    )
+    return outcome
+
+
 async def _travel(entry: Entry, journey: Journey) -> Outcome:
     """Try upstreams until there is a final outcome."""
     version, burst = choose_version(entry, journey.service)
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -22,12 +22,15 @@
 from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
 from agaterelay.mesh.callers import CallersServer, read_whole
 from agaterelay.mesh.entry import follow_fleet_size, give_up_rest, serve
+from agaterelay.mesh.feeds import watch_fleet, watch_operator
 from agaterelay.mesh.gate import Gate, follow_line
 from agaterelay.mesh.journey import Entry, Request
 from agaterelay.mesh.link import Links
 from agaterelay.mesh.links import follow_members, start_links, watch_links
 from agaterelay.mesh.meters import Meters
 from agaterelay.mesh.mover import Mover, run_mover
+from agaterelay.mesh.own_row import prune_members, write_own_row
+from agaterelay.mesh.readers import follow_readers
 from agaterelay.mesh.servers import (
     Listening,
     listen,
@@ -35,14 +38,7 @@
     stop_listening,
 )
 from agaterelay.mesh.state import Context, MeshState
-from agaterelay.mesh.watch import (
-    Watch,
-    follow_readers,
-    prune_members,
-    watch_fleet,
-    watch_operator,
-    write_own_row,
-)
+from agaterelay.mesh.watch import Watch
 
 RESTART_DELAY_S = 0.2
 # A host's callers keep some tens of connections; a process may have 3,900 at most.
@@ -145,7 +141,7 @@
 
 
 def record_refused(node: Node, reason: str, status: int, call_id: str = "") -> None:
-    """Log that a request was refused before its route was sought."""
+    """Log that a request was refused before it was placed anywhere."""
     node.context.record(
         EventKind.REQUEST_REFUSED, request_id=call_id, reason=reason, status=status
     )
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -39,18 +39,18 @@
     """
 
     own: Member  # written by the announcements
-    members: dict[str, Member] = attrs.field(factory=dict)  # written by the watch
-    table: RouteTable | None = None  # written by the watch
-    orders: dict[str, Order] = attrs.field(factory=dict)  # written by the watch
+    members: dict[str, Member] = attrs.field(factory=dict)  # written by the feeds
+    table: RouteTable | None = None  # written by the feeds
+    orders: dict[str, Order] = attrs.field(factory=dict)  # written by the feeds
     moves: dict[tuple[str, str], MoveRecord] = attrs.field(factory=dict)
     trial_began_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
     braked: set[tuple[str, int]] = attrs.field(factory=set)
-    store_up: bool = False  # written by the watch
-    fleet_known: bool = False  # written by the watch
-    watching: bool = False  # written by the watch
-    readers: tuple[str, ...] = ()  # written by the watch
+    store_up: bool = False  # written by the feeds
+    fleet_known: bool = False  # written by the feeds
+    watching: bool = False  # written by the feeds
+    readers: tuple[str, ...] = ()  # written by the feeds
     buried: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    own_row_lost: bool = False  # written by the links, cleared by the watch
+    own_row_lost: bool = False  # written by the links, cleared by own_row
     stopping: bool = False  # written by the node
     news: asyncio.Event = attrs.field(factory=asyncio.Event)
     versions: dict[str, tuple[str, str | None]] = attrs.field(factory=dict)
--- a/tests/mesh/test_readers.py
+++ b/tests/mesh/test_readers.py
@@ -23,8 +23,9 @@
 def one_reader(monkeypatch):
     monkeypatch.setattr("agaterelay.core.neighbours.MAX_WATCHERS", 1)
     monkeypatch.setattr("agaterelay.core.neighbours.READERS", 1)
-    monkeypatch.setattr("agaterelay.mesh.watch.READERS", 1)
-    monkeypatch.setattr("agaterelay.mesh.watch.FEED_WAIT_S", 0.5)
+    monkeypatch.setattr("agaterelay.mesh.readers.READERS", 1)
+    monkeypatch.setattr("agaterelay.mesh.readers.FEED_WAIT_S", 0.5)
+    monkeypatch.setattr("agaterelay.mesh.feeds.FEED_WAIT_S", 0.5)
 
 
 def watching(fleet):
