Check deploy files and saved configuration rows, all findings together

Cause: agaterelay check knew only the product's own documents; a configuration row was decoded up to its first fault, so an operator (and the log) saw one finding at a time. Change: the adapter collects what cannot be read row by row; core/route_checks.py finds what can be read and not be served; platform/deploy_file.py checks the deploy file; check takes .toml and .json for these. A node still serves whatever the operator wrote. Before: the new tests failed (no such module). After: tests of mesh, platform, core pass.

--- a/agaterelay/cli/check.py
+++ b/agaterelay/cli/check.py
@@ -1,17 +1,23 @@
-"""``agaterelay check``: find what is wrong with a document, without any node."""
+"""``agaterelay check``: find what is wrong with a file, without any node."""
 
 from __future__ import annotations
 
 import attrs
 import cappa
 
-from agaterelay.cli.options import AsJson, DocumentFile, read_sections
+from agaterelay.cli.options import AsJson, DocumentFile, read_bytes, read_sections
 from agaterelay.cli.outcome import FindingsError, show
 from agaterelay.core.snapshot import validate_sections
+from agaterelay.platform_check import check_platform_file
+
+PLATFORM_SUFFIXES = (".toml", ".json")
 
 
 def run_check(command: Check) -> None:
-    """Print all findings on a whole document."""
+    """Print all findings on a whole document, or on a file of the platform."""
+    if command.file.suffix in PLATFORM_SUFFIXES:
+        _check_platform_file(command)
+        return
     sections, _ = read_sections(command.file)
     findings = validate_sections(sections)
     if findings:
@@ -30,7 +36,19 @@
     show({"sections": summary, "findings": []}, command.json, [text])
 
 
-@cappa.command(invoke=run_check, help="Check a whole document; nothing is sent.")
+def _check_platform_file(command: Check) -> None:
+    body = read_bytes(command.file)
+    what, findings = check_platform_file(body, str(command.file))
+    if findings:
+        raise FindingsError(findings, f"in {command.file}, {what}")
+    result = {"what": what, "findings": []}
+    show(result, command.json, [f"{command.file}: {what}, no findings"])
+
+
+@cappa.command(
+    invoke=run_check,
+    help="Check a document, a deploy file or a saved row; nothing is sent.",
+)
 @attrs.define
 class Check:
     """The arguments of ``check``."""
--- a/agaterelay/cli/options.py
+++ b/agaterelay/cli/options.py
@@ -71,19 +71,29 @@
     return key
 
 
-def read_text(path: Path) -> str:
-    """Return the text of a document file.
+def read_bytes(path: Path) -> bytes:
+    """Return what stands in a file, as much as a document may hold and a byte more.
 
     Raises:
-        CommandError: The file cannot be read, is too large, or is no text.
+        CommandError: The file cannot be read.
     """
     try:
         with path.open("rb") as file:
-            content = file.read(MAX_DOCUMENT_BYTES + 1)
-        return content.decode()
+            return file.read(MAX_DOCUMENT_BYTES + 1)
     except OSError as error:
         message = f"{path}: cannot be read: {error.strerror}"
         raise CommandError(Exit.USAGE, message) from error
+
+
+def read_text(path: Path) -> str:
+    """Return the text of a document file.
+
+    Raises:
+        CommandError: The file cannot be read, is too large, or is no text.
+    """
+    content = read_bytes(path)
+    try:
+        return content.decode()
     except UnicodeDecodeError as error:
         line = content.count(b"\n", 0, error.start) + 1
         raise CommandError(Exit.USAGE, f"{path}:{line}: is not UTF-8 text") from error
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -13,7 +13,6 @@
 
 import msgpack
 
-from agaterelay.core.model import Finding
 from agaterelay.events import EventKind
 from agaterelay.mesh.links import follow_members
 from agaterelay.mesh.news import log_move, log_order
@@ -40,6 +39,8 @@
 from agaterelay.ports import Changes, HistoryLostError, PlatformError, StoredRow
 
 STANDBY_PERIOD_S = 0.2
+# A log line names so many findings at most.
+MAX_REPORTED = 5
 # Changes that come soon after one another are read together: a quarter of a second of
 # the two that a configuration may take. Links tell of hosts and moves without the feed.
 OPERATOR_SETTLE_S = 0.25
@@ -48,10 +49,13 @@
 
 def take_config(watch: Watch, value: bytes, source: str) -> None:
     """Put a configuration in force if it is newer than the present one."""
-    table = watch.formats.decode_config(value)
-    if isinstance(table, Finding):
+    table, findings = watch.formats.decode_config(value)
+    if table is None:
         watch.context.record(
-            EventKind.REVISION_REFUSED, reason=str(table), source=source
+            EventKind.REVISION_REFUSED,
+            reason="; ".join(map(str, findings[:MAX_REPORTED])),
+            findings=len(findings),
+            source=source,
         )
         return
     held = revision_of(watch.state)
--- a/agaterelay/mesh/watch.py
+++ b/agaterelay/mesh/watch.py
@@ -27,7 +27,7 @@
 
     table: str
     config_key: str
-    decode_config: Callable[[bytes], RouteTable | Finding]
+    decode_config: Callable[[bytes], tuple[RouteTable | None, tuple[Finding, ...]]]
     decode_order: Callable[[StoredRow], Order | None]
 
 
--- /dev/null
+++ b/agaterelay/platform/deploy_file.py
@@ -0,0 +1,112 @@
+"""Check the file that says how the platform builds and starts the product."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Callable
+from typing import Any
+
+from agaterelay.core.model import Finding, Place
+
+MAX_ROLES_PER_MACHINE = 2
+_METRICS = re.compile(r"[0-9]{1,5}/\S*")
+_WORDS_THAT_NEED_A_SHELL = frozenset({"&&", "||", ";", "|", ">", "<", "env", "npx"})
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str) and bool(value.strip())
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+# Each field of a role: whether its value is right, and what it should be.
+_ROLE_FIELDS: dict[str, tuple[Callable[[Any], bool], str]] = {
+    "run": (_is_text, "a program and its arguments"),
+    "on": (_is_text, "a class of machines"),
+    "serves": (
+        lambda value: isinstance(value, list) and all(map(_is_text, value)),
+        "a list of names",
+    ),
+    "metrics": (
+        lambda value: _is_text(value) and bool(_METRICS.fullmatch(value)),
+        "a port and a path, like 7390/metrics",
+    ),
+    "share": (
+        lambda value: _is_number(value) and 0 < value <= 1,
+        "a number over 0 and up to 1",
+    ),
+    "count": (
+        lambda value: _is_number(value) and isinstance(value, int) and value > 0,
+        "a whole number from 1",
+    ),
+    "apart": (lambda value: isinstance(value, bool), "true or false"),
+}
+_REQUIRED = ("run", "on")
+
+
+def check_deploy_file(text: str, filename: str) -> tuple[Finding, ...]:
+    """Return all findings on a deploy file."""
+    place = Place(filename)
+    try:
+        tree = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return (Finding(place, f"is not TOML: {error}"),)
+    findings = []
+    if not _is_text(tree.get("build")):
+        findings.append(Finding(place, "build: must be a command"))
+    roles = tree.get("roles")
+    if not isinstance(roles, dict) or not roles:
+        return (*findings, Finding(place, "roles: there is none, so nothing runs"))
+    for name, role in roles.items():
+        findings.extend(
+            Finding(place, message, f"role {name}") for message in _check_role(role)
+        )
+    tables = [role for role in roles.values() if isinstance(role, dict)]
+    findings.extend(Finding(place, message) for message in _check_machines(tables))
+    return tuple(findings)
+
+
+def _check_role(role: Any) -> list[str]:
+    if not isinstance(role, dict):
+        return [f"must be a table, not {role!r}"]
+    found = [f"{name}: is missing" for name in _REQUIRED if name not in role]
+    for name, value in role.items():
+        if name not in _ROLE_FIELDS:
+            found.append(f"{name}: is not known")
+            continue
+        is_right, wanted = _ROLE_FIELDS[name]
+        if not is_right(value):
+            found.append(f"{name}: must be {wanted}, not {value!r}")
+    run = role.get("run")
+    if _is_text(run):
+        found.extend(
+            f"run: {word!r} needs a shell or a helper, and there is none"
+            for word in run.split()
+            if word in _WORDS_THAT_NEED_A_SHELL
+        )
+    if "share" in role and "count" in role:
+        found.append("share and count: one of them says how many machines")
+    return found
+
+
+def _check_machines(roles: list[dict[str, Any]]) -> list[str]:
+    """Return what is wrong with roles that run on the same class of machines."""
+    found = []
+    by_class: dict[str, list[dict[str, Any]]] = {}
+    for role in roles:
+        by_class.setdefault(str(role.get("on")), []).append(role)
+    for name, together in by_class.items():
+        if len(together) > MAX_ROLES_PER_MACHINE:
+            found.append(
+                f"{len(together)} roles run on {name}; a machine runs "
+                f"{MAX_ROLES_PER_MACHINE} at most"
+            )
+        served = [item for role in together for item in role.get("serves") or []]
+        found.extend(
+            f"two roles on {name} serve {item}"
+            for item in sorted({item for item in served if served.count(item) > 1})
+        )
+    return found
--- /dev/null
+++ b/agaterelay/platform_check.py
@@ -0,0 +1,30 @@
+"""Check files of the users' platform: the deploy file, and a saved configuration row."""
+
+from __future__ import annotations
+
+from agaterelay.core.model import Finding, Place
+from agaterelay.core.route_checks import check_route_table
+from agaterelay.platform.config import decode_config
+from agaterelay.platform.deploy_file import check_deploy_file
+
+
+def check_platform_file(body: bytes, filename: str) -> tuple[str, tuple[Finding, ...]]:
+    """Check a file of the platform.
+
+    Args:
+        body: What stands in the file.
+        filename: The file's name; a name that ends in ``.toml`` is a deploy file.
+
+    Returns:
+        What the file is, in words, and all findings on it.
+    """
+    if filename.endswith(".toml"):
+        try:
+            return "a deploy file", check_deploy_file(body.decode(), filename)
+        except UnicodeDecodeError as error:
+            return "a deploy file", (Finding(Place(filename), f"no text: {error}"),)
+    table, findings = decode_config(body, filename)
+    if table is None:
+        return "a configuration row", findings
+    what = f"a configuration row, revision {table.revision}, {len(table.routes)} routes"
+    return what, check_route_table(table, filename)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from agaterelay.core.model import Finding, MoveState
+from agaterelay.core.model import MoveState
 from agaterelay.core.outcome import Answered, NotRun, Unknown
 from agaterelay.platform.announcements import decode_announcement, decode_born_ms
 from agaterelay.platform.config import decode_config
@@ -67,10 +67,11 @@
 
 def test_a_configuration_is_decoded_whole():
     parts = [{"service": "desk", "weight": 90}, {"service": "panel", "weight": 10}]
-    table = decode_config(
+    table, findings = decode_config(
         config(12, [route("/a/", None, weightedClusters=parts), route("/b/")])
     )
     assert table.revision == 12
+    assert findings == ()
     split, plain = table.routes
     assert split.parts == (("desk", 90), ("panel", 10))
     assert (plain.service, plain.timeout_ms, plain.idempotent) == ("desk", 1500, True)
@@ -80,7 +81,17 @@
 
 @pytest.mark.parametrize("value", [b"", b"{}", b"[1]", b'{"version":"x"}', b"\xff"])
 def test_what_is_no_configuration_is_a_finding(value):
-    assert isinstance(decode_config(value), Finding)
+    table, findings = decode_config(value)
+    assert table is None
+    assert len(findings) == 1
+
+
+def test_all_rows_that_cannot_be_read_are_found_together():
+    rows = [route("/a/", timeout="soon"), route("/b/"), route("/c/", priority="high")]
+    table, findings = decode_config(config(1, rows), "row.json")
+    assert table is None
+    assert [item.section for item in findings] == ["routes, row 1", "routes, row 3"]
+    assert all(str(item).startswith("row.json:1:1:") for item in findings)
 
 
 def test_an_announcement_is_decoded():
