Greet with a fingerprint of the view, not with the whole of it; ask any zone for a first configuration

Cause: on each new link both ends told all hosts they knew, 5.5 KB on average in a fleet of 106. Ruled out: pings, news of hosts, configurations (they stay within the zone). Change: mesh/views.py: greetings carry the sender's own entry and the 32 numbers of core/fingerprint.py; where views differ a node asks one other at a time, its own zone first, for the entries that differ. A first configuration is asked of whoever is heard first. Refusals before placing are limited to 20 log lines a second like other calls'.

--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -39,6 +39,8 @@
     TABLE = 9
     ASK_TALLIES = 10
     TALLIES = 11
+    WANT_MEMBERS = 12
+    MEMBERS = 13
 
 
 def set_liveness(link_socket: socket.socket, user_timeout_ms: int) -> None:
--- a/agaterelay/adapters/log.py
+++ b/agaterelay/adapters/log.py
@@ -29,6 +29,7 @@
     EventKind.BUDGET_SPENT: 10,
     EventKind.CALL_ENDED: 20,
     EventKind.CALL_RAN: 10,
+    EventKind.REQUEST_REFUSED: 20,
     EventKind.LIBRARY_WARNING: 20,
 }
 
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -42,7 +42,11 @@
 
 @attrs.define
 class Links:
-    """All links of a node, and the calls that others run through it."""
+    """All links of a node, and the calls that others run through it.
+
+    ``unequal`` are the connections whose other end told a view that differs from this
+    node's: its fingerprint, and how many hosts it knows.
+    """
 
     context: Context
     state: MeshState
@@ -58,3 +62,8 @@
     server: asyncio.Server | None = None
     asked_table_s: float = -1.0
     behind_s: float | None = None
+    asked_members_s: float = -1e9
+    unequal_s: float | None = None
+    unequal: dict[FrameConnection, tuple[tuple[int, ...], int]] = attrs.field(
+        factory=dict
+    )
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -27,10 +27,13 @@
     greet,
     note_revision,
     note_watching,
+    take_entries,
+    take_hello,
     take_news,
     take_table_frame,
 )
 from agaterelay.mesh.state import revision_of
+from agaterelay.mesh.views import answer_entries, ask_for_entries
 from agaterelay.mesh.wire import (
     call_from_wire,
     call_to_wire,
@@ -53,6 +56,8 @@
 SILENCE_S = 0.6
 WATCH_PERIOD_S = 0.1
 ASK_TIMEOUT_S = 0.5
+# The frames by which nodes tell each other of the fleet.
+TELLING = (Frame.HELLO, Frame.NEWS, Frame.WANT_MEMBERS, Frame.MEMBERS)
 
 
 async def start_links(links: Links) -> None:
@@ -164,9 +169,8 @@
     elif kind == Frame.PING:
         connection.send([Frame.PONG, revision_of(links.state), links.state.watching])
         note_revision(links, connection, frame[1])
-    elif kind in (Frame.HELLO, Frame.NEWS):
-        if take_news(links, connection, frame):
-            follow_members(links)
+    elif kind in TELLING:
+        _take_telling(links, connection, frame)
     elif kind == Frame.ASK_TALLIES:
         since_s = links.context.clock.monotonic_s() - frame[2]
         tallies = tallies_since(links.gate, since_s)
@@ -175,6 +179,22 @@
         take_table_frame(links, connection, frame)
 
 
+def _take_telling(links: Links, connection: FrameConnection, frame: list[Any]) -> None:
+    """Take in what a node tells of the fleet, or tell it what it asks for."""
+    kind = frame[0]
+    changed = False
+    if kind == Frame.WANT_MEMBERS:
+        answer_entries(links, connection, frame[1])
+    elif kind == Frame.MEMBERS:
+        changed = take_entries(links, frame[1])
+    elif kind == Frame.HELLO:
+        changed = take_hello(links, connection, frame)
+    else:
+        changed = take_news(links, connection, frame)
+    if changed:
+        follow_members(links)
+
+
 def _begin_inbound(links: Links, connection: FrameConnection) -> None:
     links.accepted.add(connection)
     greet(links, connection)
@@ -224,9 +244,8 @@
         future = link.pending.pop(frame[1], None)
         if future is not None and not future.done():
             future.set_result(tallies_from_wire(frame[2]))
-    elif kind in (Frame.HELLO, Frame.NEWS):
-        if take_news(links, link.connection, frame):
-            follow_members(links)
+    elif kind in TELLING:
+        _take_telling(links, link.connection, frame)
     else:
         take_table_frame(links, link.connection, frame)
 
@@ -310,6 +329,7 @@
         for link in links.links.values():
             if link.connection is not None:
                 _watch_link(links, link, now_s)
+        ask_for_entries(links)
 
 
 def _watch_link(links: Links, link: Link, now_s: float) -> None:
--- a/agaterelay/mesh/news.py
+++ b/agaterelay/mesh/news.py
@@ -1,7 +1,8 @@
 """What nodes tell each other on their links: hosts, moves, orders, revisions.
 
-Whoever dials or is dialled tells all that it knows. After that a node tells changes of its
-own, and what it reads in the store where it watches for its zone. Every ping and answer
+Whoever dials or is dialled tells its own entry and a fingerprint of its view, by which
+the views are made the same (``views.py``). After that a node tells changes of its own, and
+what it reads in the store where it watches for its zone. Every ping and answer
 carries a revision, and a node that is behind asks for the document.
 """
 
@@ -14,19 +15,21 @@
 import attrs
 
 from agaterelay.adapters.frames import Frame, FrameConnection
+from agaterelay.core.fingerprint import fingerprint
 from agaterelay.core.membership import Member
 from agaterelay.core.trial import MoveRecord, Order
 from agaterelay.events import EventKind
 from agaterelay.mesh.link import Links
 from agaterelay.mesh.state import (
     Context,
-    all_members,
     drop_member,
+    in_own_zone,
     revision_of,
     take_member,
     take_move,
     take_order,
 )
+from agaterelay.mesh.views import compare_views, view_of
 from agaterelay.mesh.wire import (
     member_from_wire,
     member_to_wire,
@@ -43,23 +46,26 @@
 
 
 def greet(links: Links, connection: FrameConnection) -> None:
-    """Tell a node all that this one knows."""
+    """Tell a node this host's entry, and by what the views can be compared."""
+    view = view_of(links.state)
+    frame = _news_frame(links, [links.state.own], [])
+    connection.send([Frame.HELLO, *frame[1:], list(fingerprint(view)), len(view)])
+
+
+def _news_frame(
+    links: Links, members: Iterable[Member], removed: Iterable[tuple[str, int, int]]
+) -> list[Any]:
     state = links.state
-    members = [member_to_wire(member) for member in all_members(state)]
-    moves = [move_to_wire(record) for record in state.moves.values()]
-    orders = [order_to_wire(order) for order in state.orders.values()]
-    connection.send(
-        [
-            Frame.HELLO,
-            state.own.host,
-            revision_of(state),
-            members,
-            moves,
-            orders,
-            [],
-            state.watching,
-        ]
-    )
+    return [
+        Frame.NEWS,
+        state.own.host,
+        revision_of(state),
+        [member_to_wire(member) for member in members],
+        [move_to_wire(record) for record in state.moves.values()],
+        [order_to_wire(order) for order in state.orders.values()],
+        [list(item) for item in removed],
+        state.watching,
+    ]
 
 
 def tell_all(links: Links) -> None:
@@ -87,45 +93,25 @@
     own_zone_only: bool,
 ) -> None:
     state = links.state
-    frame = [
-        Frame.NEWS,
-        state.own.host,
-        revision_of(state),
-        [member_to_wire(member) for member in members],
-        [move_to_wire(record) for record in state.moves.values()],
-        [order_to_wire(order) for order in state.orders.values()],
-        [list(item) for item in removed],
-        state.watching,
-    ]
+    frame = _news_frame(links, members, removed)
     told = set()
     for link in links.links.values():
-        if own_zone_only and not _in_own_zone(links, link.host):
+        if own_zone_only and not in_own_zone(state, link.host):
             continue
         if link.connection is not None and link.connection.send(frame):
             told.add(link.host)
     for connection in links.accepted:
         host = connection.host
-        if host not in told and (not own_zone_only or _in_own_zone(links, host)):
+        if host not in told and (not own_zone_only or in_own_zone(state, host)):
             connection.send(frame)
 
 
-def _in_own_zone(links: Links, host: str) -> bool:
-    member = links.state.members.get(host)
-    return member is not None and member.zone == links.state.own.zone
-
-
 def take_news(links: Links, connection: FrameConnection, frame: list[Any]) -> bool:
     """Take in what another node tells; return whether hosts have changed."""
-    _, host, revision, members, moves, orders, removed, watching = frame
+    _, host, revision, members, moves, orders, removed, watching = frame[:8]
     connection.host = host
     note_watching(links, host, watching)
-    links.state.fleet_known |= len(members) > 1
-    changed = False
-    for plain in members:
-        member = member_from_wire(plain)
-        if member.host == links.state.own.host:
-            _note_older_self(links, member)
-        changed |= take_member(links.state, member)
+    changed = take_entries(links, members)
     for gone, incarnation, sequence in removed:
         if gone == links.state.own.host:
             links.state.own_row_lost = True
@@ -144,6 +130,26 @@
     return changed
 
 
+def take_hello(links: Links, connection: FrameConnection, frame: list[Any]) -> bool:
+    """Take in what a node tells at first; return whether hosts have changed."""
+    changed = take_news(links, connection, frame)
+    compare_views(links, connection, frame[8], frame[9])
+    return changed
+
+
+def take_entries(links: Links, members: list[Any]) -> bool:
+    """Take in hosts' entries as another node holds them; return whether any is news."""
+    state = links.state
+    state.fleet_known |= len(members) > 1
+    changed = False
+    for plain in members:
+        member = member_from_wire(plain)
+        if member.host == state.own.host:
+            _note_older_self(links, member)
+        changed |= take_member(state, member)
+    return changed
+
+
 def _note_older_self(links: Links, member: Member) -> None:
     """Begin a higher incarnation where others know a later start of this host."""
     own = links.state.own
@@ -189,7 +195,8 @@
     """Ask for the configuration where the other node is ahead.
 
     A node of another zone is asked only where none of the own zone has it soon: a
-    document is large, and bytes between zones are dear.
+    document is large, and bytes between zones are dear. A node without any
+    configuration serves nobody, so it asks whoever it hears first.
     """
     if revision <= revision_of(links.state):
         links.behind_s = None
@@ -198,7 +205,8 @@
     if links.behind_s is None:
         links.behind_s = now_s
     waited = now_s - links.behind_s >= OTHER_ZONE_DELAY_S
-    if not waited and not _in_own_zone(links, connection.host):
+    waited |= links.state.table is None
+    if not waited and not in_own_zone(links.state, connection.host):
         return
     if now_s - links.asked_table_s < ASK_AGAIN_S:
         return
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -74,6 +74,12 @@
     return [state.own, *others]
 
 
+def in_own_zone(state: MeshState, host: str) -> bool:
+    """Return whether a host is known to be in this host's availability zone."""
+    member = state.members.get(host)
+    return member is not None and member.zone == state.own.zone
+
+
 def targets_of(state: MeshState, service: str, version: str) -> list[Member]:
     """Return the hosts whose upstream takes calls for a version of a service."""
     key = (service, version)
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,7 +15,7 @@
 from bench.measure import OUT
 from bench.plots import draw_all
 
-BENCHES = ("moves", "latency", "overload", "convergence", "control")
+BENCHES = ("moves", "latency", "overload", "convergence", "control", "mesh_cost")
 
 
 def numbers(value: Any, path: str = "") -> dict[str, float]:
--- /dev/null
+++ b/bench/mesh_cost.py
@@ -0,0 +1,238 @@
+"""What a request costs two deployed nodes: processor time by hop, and its log.
+
+Two nodes as processes, a stand-in store and instances in this one. All requests go to
+the first node, whose caller's service is another one, and so over a link to the gate of
+the second. Each variant is run on fresh processes: with the log, without it, and with
+an upstream that fails every call, so that each end is a line in the log.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import pstats
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+
+from bench.measure import summary, usage, write
+from standins.instance import Instance, announce, start_instance, stop_instance
+from standins.store import StandInStore, put_row, start_store
+
+RATE_PER_S = 150.0
+DURATION_S = 10.0
+WORK_S = 0.01
+SLOTS = 16
+METRICS_PORT = 7390
+READY_S = 10.0
+HEARTBEAT_S = 1.5
+HOSTS = ("127.90.0.1", "127.90.0.2")
+SERVICES = ("panel", "desk")
+STORE = "127.90.0.9:7401"
+SHOWN = 14
+
+
+@attrs.define
+class Pair:
+    """The two nodes and their instances."""
+
+    processes: list[asyncio.subprocess.Process] = attrs.field(factory=list)
+    instances: list[Instance] = attrs.field(factory=list)
+
+
+def configuration() -> bytes:
+    """Return the operator's configuration: one route to the second node's service."""
+    columns = ["name", "host", "prefix", "kind", "timeout", "targetLatency"]
+    columns += ["priority", "service", "maxAttempts"]
+    row = ["r", "app.example", "/", "idempotent", "2s", "500ms", 1, "desk", 1]
+    services = [[name, "/healthz"] for name in SERVICES]
+    tree = {
+        "version": "00000001",
+        "routes": {"columns": columns, "rows": [row]},
+        "services": {"columns": ["name", "healthPath"], "rows": services},
+    }
+    return json.dumps(tree).encode()
+
+
+def settings_of(ip: str, service: str) -> dict[str, Any]:
+    """Return the settings file of a node."""
+    ports = {"inbound": 7410, "outbound": 7411, "ready": 7412, "admin": 7413}
+    return {
+        "nodeName": f"host-{ip}",
+        "ip": ip,
+        "zone": "a",
+        "bind": {name: f"{ip}:{port}" for name, port in ports.items()},
+        "bootstrap": True,
+        "heartbeat": "1500ms",
+        "bounds": {"retryBudgetSlack": 62},
+        "appAddr": f"{ip}:7414",
+        "service": service,
+        "platform": {"address": STORE},
+    }
+
+
+@contextlib.asynccontextmanager
+async def running_pair(folder: Path, options: list[str]) -> AsyncIterator[Pair]:
+    """Start the store, two nodes and their instances."""
+    store = StandInStore()
+    runner = await start_store(store, STORE)
+    await put_row(store, "op", "config", configuration())
+    pair = Pair()
+    try:
+        for ip, service in zip(HOSTS, SERVICES, strict=True):
+            path = folder / f"{ip}.json"
+            path.write_text(json.dumps(settings_of(ip, service)))
+            profile = str(folder / f"{service}.prof")
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "bench.measured_node",
+                *(option.format(profile=profile) for option in options),
+                env={**os.environ, "AGATERELAY_CONFIG": str(path)},
+                stdout=asyncio.subprocess.DEVNULL,
+            )
+            pair.processes.append(process)
+            instance = Instance(
+                f"i-{service}", service, f"{ip}:7414", slots=SLOTS, work_s=WORK_S
+            )
+            await start_instance(instance)
+            pair.instances.append(instance)
+        await _announce_all(pair)
+        heartbeats = asyncio.create_task(_keep_announcing(pair))
+        yield pair
+        heartbeats.cancel()
+    finally:
+        for process in pair.processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+        for process in pair.processes:
+            await process.wait()
+        for instance in pair.instances:
+            stop_instance(instance)
+        await runner.cleanup()
+
+
+async def _announce_all(pair: Pair) -> None:
+    async with asyncio.timeout(READY_S):
+        for ip, instance in zip(HOSTS, pair.instances, strict=True):
+            while True:
+                try:
+                    if await announce(instance, f"{ip}:7413") == 200:
+                        break
+                except aiohttp.ClientError:
+                    await asyncio.sleep(0.1)
+    # Links and the budget for repeats are there after some heartbeats.
+    await asyncio.sleep(2.0)
+
+
+async def _keep_announcing(pair: Pair) -> None:
+    while True:
+        await asyncio.sleep(HEARTBEAT_S)
+        for ip, instance in zip(HOSTS, pair.instances, strict=True):
+            await announce(instance, f"{ip}:7413")
+
+
+async def drive(pair: Pair) -> dict[str, Any]:
+    """Send requests at a steady rate and return what they cost."""
+    before = [usage([process.pid]).cpu_s for process in pair.processes]
+    latencies_ms: list[float] = []
+    statuses: dict[int, int] = {}
+    connector = aiohttp.TCPConnector(limit=0, family=socket.AF_INET)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        tasks = []
+        began_s = time.monotonic()
+        for number in range(int(RATE_PER_S * DURATION_S)):
+            await asyncio.sleep(began_s + number / RATE_PER_S - time.monotonic())
+            send = _send(session, number, latencies_ms, statuses)
+            tasks.append(asyncio.create_task(send))
+        await asyncio.gather(*tasks)
+    after = [usage([process.pid]).cpu_s for process in pair.processes]
+    count = len(latencies_ms)
+    per_call_us = [
+        round(1e6 * (late - early) / count)
+        for early, late in zip(before, after, strict=True)
+    ]
+    return {
+        "entry_us": per_call_us[0],
+        "gate_us": per_call_us[1],
+        "latency_ms": summary(latencies_ms),
+        "statuses": statuses,
+    }
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    number: int,
+    latencies_ms: list[float],
+    statuses: dict[int, int],
+) -> None:
+    headers = {
+        "Host": "app.example",
+        "X-Attempt-Id": f"call-{number}",
+        "X-Request-Deadline": "2000",
+    }
+    began_s = time.monotonic()
+    url = f"http://{HOSTS[0]}:7411/x"
+    async with session.get(url, headers=headers) as response:
+        await response.read()
+    latencies_ms.append(1000 * (time.monotonic() - began_s))
+    statuses[response.status] = statuses.get(response.status, 0) + 1
+
+
+async def run_variant(folder: Path, options: list[str], fault: str) -> dict[str, Any]:
+    """Run one variant on fresh processes."""
+    async with running_pair(folder, options) as pair:
+        pair.instances[1].fault = fault
+        return await drive(pair)
+
+
+def largest(path: Path) -> list[str]:
+    """Return the functions with the most time of their own, as a profile saw them."""
+    stats = pstats.Stats(str(path))
+    total_s = stats.total_tt
+    rows = sorted(stats.stats.items(), key=lambda item: -item[1][2])
+    return [
+        f"{100 * own_s / total_s:.1f} % {Path(place[0]).name}:{place[2]} ({calls} calls)"
+        for place, (_, calls, own_s, _, _) in rows
+        if "poll" not in place[2]
+    ][:SHOWN]
+
+
+def main() -> None:
+    """Run all variants."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=2)
+    arguments = parser.parse_args()
+    variants = {
+        "with its log": ([], ""),
+        "without a log": (["--no-log"], ""),
+        "all fail, with the log": ([], "error"),
+        "all fail, without a log": (["--no-log"], "error"),
+    }
+    result: dict[str, Any] = {name: [] for name in variants}
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        for _ in range(arguments.rounds):
+            for variant, (options, fault) in variants.items():
+                result[variant].append(asyncio.run(run_variant(folder, options, fault)))
+        asyncio.run(run_variant(folder, ["--profile={profile}"], ""))
+        result["profile"] = {
+            "entry": largest(folder / "panel.prof"),
+            "gate": largest(folder / "desk.prof"),
+        }
+    write("mesh_cost", {"rate_per_s": RATE_PER_S, **result})
+
+
+if __name__ == "__main__":
+    main()
