Soak real nodes with faults from outside; keep early signals; use a link once the other end spoke

Cause (output of the node, which shows the signal and nothing after): SIGHUP while the node was still being loaded had its default effect and ended it. Cause: a connection through the proxy is there although nobody is behind it; the link counted as up until the connection ended, calls were sent and their outcome was unknown. A frozen host's kernel does the same. Ruled out: a dead host, which refuses. Change: a link is used once the other end has spoken, which it does at once.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo demo-guild test lint bench proto fuzz
+.PHONY: setup demo demo-guild test lint bench proto fuzz soak
 
 setup: $(STAMP)
 
@@ -35,3 +35,6 @@
 
 fuzz: setup
 	$(PYTHON) -m pytest --hypothesis-profile=fuzz tests/core tests/adapters tests/tasks
+
+soak: setup
+	$(PYTHON) -m soak --seeds 1-50 --jobs 2
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -1,6 +1,6 @@
 """The program of a node on the users' platform: wires the adapter to the node.
 
-Run as ``python3 -m agaterelay.deployed``; the settings are found by the platform's
+Started by ``python3 -m agaterelay.start``; the settings are found by the platform's
 variable. Exits with 2 where they have findings.
 """
 
@@ -8,6 +8,7 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 from functools import partial
 
 import attrs
@@ -166,7 +167,7 @@
     ]
 
 
-async def run(deployment: Deployment) -> None:
+async def run(deployment: Deployment, reload_was_asked: Callable[[], bool]) -> None:
     """Run a node until it is told to stop."""
     sink = LineSink(sys.stdout.fileno())
     configure_log(sink)
@@ -180,7 +181,7 @@
         await reload_settings(node)
 
     try:
-        await run_node(node, partial(servers_of, sink=sink), reload)
+        await run_node(node, partial(servers_of, sink=sink), reload, reload_was_asked)
     finally:
         await store.close()
 
@@ -207,20 +208,21 @@
     )
 
 
-def main() -> int:
-    """Check the settings and run a node; return the process's exit status."""
+def main(reload_was_asked: Callable[[], bool] = lambda: False) -> int:
+    """Check the settings and run a node; return the process's exit status.
+
+    Args:
+        reload_was_asked: Returns whether the settings were to be read again before the
+            node listened for that.
+    """
     deployment, findings = settings.load_deployment(settings.settings_path())
     if deployment is None:
         for finding in findings:
             print(finding, file=sys.stderr)
         return EXIT_SETTINGS_INVALID
     try:
-        asyncio.run(run(deployment))
+        asyncio.run(run(deployment, reload_was_asked))
     except OSError as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return 1
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -3,7 +3,8 @@
 A link carries calls to the other's gate and what both know of the fleet. A node dials
 every host that it learns of, and a host that it has heard dial; a host that comes back
 after a restart is thus told by its neighbours what is in force, with the store or
-without. A link that stays silent while an answer is due is not used for placing until
+without. A link is used once the other end has spoken: the connection to a frozen host, or
+through something in between, is there without it. A link that stays silent while an answer is due is not used for placing until
 something arrives on it again.
 """
 
@@ -132,23 +133,23 @@
         delay_s = FIRST_REDIAL_S
         link.connection = connection
         link.heard_s = clock.monotonic_s()
-        link.pinged_s = None
-        link.usable = True
+        link.pinged_s = link.heard_s
         greet(links, connection)
-        links.context.record(EventKind.LINK_UP, peer=link.host)
         await lost.wait()
         await clock.sleep(FIRST_REDIAL_S * random.random())
 
 
 def _lose_link(links: Links, link: Link, reason: str) -> None:
+    was_up = link.usable or bool(link.pending)
     link.connection = None
     link.usable = False
     link.lost_s = links.context.clock.monotonic_s()
     link.load = TargetLoad()
     pending, link.pending = link.pending, {}
-    links.context.record(
-        EventKind.LINK_LOST, peer=link.host, reason=reason, waiting=len(pending)
-    )
+    if was_up:
+        links.context.record(
+            EventKind.LINK_LOST, peer=link.host, reason=reason, waiting=len(pending)
+        )
     for future in pending.values():
         if not future.done():
             future.set_exception(ConnectionError(reason))
@@ -228,7 +229,7 @@
     link.pinged_s = None
     if not link.usable:
         link.usable = True
-        links.context.record(EventKind.LINK_UP, peer=link.host, silent=True)
+        links.context.record(EventKind.LINK_UP, peer=link.host)
     kind = frame[0]
     if kind == Frame.RESULT:
         future = link.pending.pop(frame[1], None)
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -204,6 +204,7 @@
     node: Node,
     servers: Callable[[Node], list[tuple[web.Server, str]]],
     reload: Callable[[], Awaitable[None]],
+    reload_was_asked: Callable[[], bool] = lambda: False,
 ) -> None:
     """Run a node until it is told to stop.
 
@@ -211,6 +212,7 @@
         node: The node.
         servers: Returns the HTTP servers of the node and their addresses.
         reload: Reads the settings again.
+        reload_was_asked: Returns whether that was asked for before this listened for it.
 
     Raises:
         OSError: An address cannot be bound.
@@ -220,6 +222,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: asyncio.ensure_future(reload()))
+    if reload_was_asked():
+        await reload()
     deployment = node.context.deployment
     await start_links(node.links)
     listening = Listening()
--- a/bench/mesh_cost.py
+++ b/bench/mesh_cost.py
@@ -11,6 +11,7 @@
 import argparse
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pstats
@@ -20,12 +21,21 @@
 import tempfile
 import time
 from collections.abc import AsyncIterator
+from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 import attrs
 
+from agaterelay.adapters.log import (
+    LineSink,
+    Recorder,
+    configure_log,
+    make_recorder,
+)
+from agaterelay.core.timeline import Timeline
+from agaterelay.events import EventKind
 from bench.measure import summary, usage, write
 from standins.instance import Instance, announce, start_instance, stop_instance
 from standins.store import StandInStore, put_row, start_store
@@ -41,6 +51,7 @@
 SERVICES = ("panel", "desk")
 STORE = "127.90.0.9:7401"
 SHOWN = 14
+LINES = 20_000
 
 
 @attrs.define
@@ -209,6 +220,39 @@
     ][:SHOWN]
 
 
+def line_costs() -> dict[str, float]:
+    """Return the processor time of a log line, and of one over its limit, in us."""
+    with open(os.devnull, "wb") as null:
+        configure_log(LineSink(null.fileno()))
+        seconds = itertools.count()
+        moment = datetime(2026, 1, 1, tzinfo=UTC)
+
+        def each_second_anew() -> datetime:
+            return moment + timedelta(seconds=next(seconds))
+
+        return {
+            "line_us": _cost_of(make_recorder(Timeline("host", each_second_anew))),
+            "over_the_limit_us": _cost_of(make_recorder(Timeline("h", lambda: moment))),
+        }
+
+
+def _cost_of(record: Recorder) -> float:
+    began_s = time.process_time()
+    for number in range(LINES):
+        record(
+            EventKind.CALL_FAILED,
+            request_id=f"call-{number}",
+            route="r",
+            instance="i-desk",
+            outcome="status 500",
+            waited_ms=1,
+            ran_ms=10,
+            in_use=3,
+            waiting=0,
+        )
+    return round(1e6 * (time.process_time() - began_s) / LINES, 1)
+
+
 def main() -> None:
     """Run all variants."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -221,6 +265,7 @@
         "all fail, without a log": (["--no-log"], "error"),
     }
     result: dict[str, Any] = {name: [] for name in variants}
+    result["log"] = line_costs()
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         for _ in range(arguments.rounds):
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real nodes as processes, with faults from outside them."""
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import hashlib
+import time
 from collections import Counter
 from typing import Any
 
@@ -36,6 +37,8 @@
     born_ms: int = 1_000
     fault: str = ""
     ran: Counter[str] = attrs.field(factory=Counter)
+    # When each call began: on the steady clock, of which start, and its id.
+    began: list[tuple[float, int, str]] = attrs.field(factory=list)
     heads: list[dict[str, str]] = attrs.field(factory=list)
     bodies: list[bytes] = attrs.field(factory=list)
     leaving: bool = False
@@ -147,6 +150,7 @@
         _write(writer, 503, {"X-Not-Executed": "1", "X-Attempt-Id": call_id}, b"")
         return
     instance.ran[call_id] += 1
+    instance.began.append((time.monotonic(), instance.born_ms, call_id))
     instance.heads.append({"": line, **headers})
     instance.bodies.append(body)
     instance.running += 1
