--- a/agaterelay/mesh/callers.py
+++ b/agaterelay/mesh/callers.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
@@ -28,6 +28,7 @@
     b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 TellRefused = Callable[[str, int], None]
 
 
@@ -39,7 +40,7 @@
     """
 
     def __init__(
-        self, handler: web.Handler, state: MeshState, tell_refused: TellRefused
+        self, handler: Handler, state: MeshState, tell_refused: TellRefused
     ) -> None:
         super().__init__(handler, handler_cancellation=True, access_log=None)
         self._state = state
