--- a/agaterelay/mesh/news.py
+++ b/agaterelay/mesh/news.py
@@ -40,9 +40,9 @@
 )
 
 # How long a node that is behind waits for its own zone before it asks another one.
-OTHER_ZONE_DELAY_S = 0.5
+OTHER_ZONE_TABLE_DELAY_S = 0.5
 # A node that has asked for the document waits this long before it asks again.
-ASK_AGAIN_S = 0.3
+ASK_TABLE_AGAIN_S = 0.3
 
 
 def greet(links: Links, connection: FrameConnection) -> None:
@@ -204,11 +204,11 @@
     now_s = links.context.clock.monotonic_s()
     if links.behind_s is None:
         links.behind_s = now_s
-    waited = now_s - links.behind_s >= OTHER_ZONE_DELAY_S
+    waited = now_s - links.behind_s >= OTHER_ZONE_TABLE_DELAY_S
     waited |= links.state.table is None
     if not waited and not in_own_zone(links.state, connection.host):
         return
-    if now_s - links.asked_table_s < ASK_AGAIN_S:
+    if now_s - links.asked_table_s < ASK_TABLE_AGAIN_S:
         return
     links.asked_table_s = now_s
     connection.send([Frame.WANT_TABLE])
--- a/agaterelay/mesh/views.py
+++ b/agaterelay/mesh/views.py
@@ -15,10 +15,10 @@
 from agaterelay.mesh.wire import member_to_wire
 
 # An answer comes within some milliseconds, and may make further ones needless.
-ASK_AGAIN_S = 0.2
+ASK_VIEW_AGAIN_S = 0.2
 # How long a node waits for its own zone before it asks another one: a round trip and
 # the work of a busy node, far less than any bound on news.
-OTHER_ZONE_DELAY_S = 0.2
+OTHER_ZONE_VIEW_DELAY_S = 0.2
 # More than any view has: an answer is never cut short.
 MOST_ENTRIES = 1 << 16
 
@@ -58,10 +58,10 @@
     now_s = links.context.clock.monotonic_s()
     if links.unequal_s is None:
         links.unequal_s = now_s
-    if now_s - links.asked_members_s < ASK_AGAIN_S:
+    if now_s - links.asked_members_s < ASK_VIEW_AGAIN_S:
         return
     near = [item for item in links.unequal if in_own_zone(state, item.host)]
-    waited = now_s - links.unequal_s >= OTHER_ZONE_DELAY_S
+    waited = now_s - links.unequal_s >= OTHER_ZONE_VIEW_DELAY_S
     # A node that knows nobody yet does not wait.
     if not near and not waited and state.fleet_known:
         return
--- a/tests/mesh/test_views.py
+++ b/tests/mesh/test_views.py
@@ -13,7 +13,7 @@
 from agaterelay.mesh.links import _take_frame
 from agaterelay.mesh.news import greet
 from agaterelay.mesh.state import all_members
-from agaterelay.mesh.views import OTHER_ZONE_DELAY_S, ask_for_entries
+from agaterelay.mesh.views import OTHER_ZONE_VIEW_DELAY_S, ask_for_entries
 
 
 @pytest.fixture(autouse=True)
@@ -146,7 +146,7 @@
     ends = connect(one, two)
     frames = deliver(one, two, ends)
     assert Frame.WANT_MEMBERS not in [frame[0] for frame in frames]
-    clock.now_s += OTHER_ZONE_DELAY_S
+    clock.now_s += OTHER_ZONE_VIEW_DELAY_S
     ask_for_entries(one)
     ask_for_entries(two)
     deliver(one, two, ends)
