Test that of two opinions on a move the one that was written first holds

With the guards on final records taken out of a scratch copy (mesh/state.py, mesh/mover.py) the variant with lost answers fails; the four tests of before do not, for there all nodes judge alike.

--- a/tests/mesh/test_moves.py
+++ b/tests/mesh/test_moves.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import base64
+import itertools
 import json
 
 import pytest
 
 from agaterelay.core.model import MoveState
+from agaterelay.core.trial import Verdict
 from standins.instance import announce
 from standins.store import put_row, row_of
 from tests.mesh.fleet import add_host, admin_of, ask, running_fleet, sees_all, until
@@ -84,3 +86,44 @@
             assert told[-1] == wanted
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("lost", [False, True], ids=["answers", "answers-lost"])
+def test_of_two_opinions_the_one_that_was_written_first_holds(monkeypatch, lost):
+    opinions = itertools.count()
+
+    def judge(*evidence):
+        first = next(opinions) == 0
+        return Verdict(MoveState.DONE if first else MoveState.REVERTED, "an opinion")
+
+    monkeypatch.setattr("agaterelay.mesh.mover.is_turn", lambda mover, order: True)
+    monkeypatch.setattr("agaterelay.mesh.mover.judge", judge)
+
+    async def play():
+        async with running_fleet(("desk", "desk")) as fleet:
+            late = await add_host(fleet, "desk", version="v2")
+            await announce(late.instance, admin_of(late))
+            await until(lambda: all(sees_all(fleet, host) for host in fleet.hosts))
+            fleet.store.faults.lose_answers = lost
+            order = {"service": "desk", "to": "v2", "duration": DURATION}
+            await put_row(fleet.store, "op", KEY, json.dumps(order).encode())
+            await until(lambda: state_now(fleet) in FINAL, PATIENCE_S)
+            written = state_now(fleet)
+            await until(lambda: agreed(fleet) == {written}, PATIENCE_S)
+            await asyncio.sleep(3.0)
+            told = [json.loads(base64.b64decode(item)) for item in states_told(fleet)]
+            finals = [item["state"] for item in told if item["state"] in FINAL]
+            assert finals == [written]
+            assert agreed(fleet) == {written}
+
+    asyncio.run(play())
+
+
+def agreed(fleet):
+    """Return how the nodes hold that the move ended, in the operator's words."""
+    words = {MoveState.DONE: "completed", MoveState.REVERTED: "rolled_back"}
+    return {
+        words.get(record.state)
+        for host in fleet.hosts
+        for record in host.node.state.moves.values()
+    }
