--- a/agaterelay/core/story.py
+++ b/agaterelay/core/story.py
@@ -39,6 +39,7 @@
     "call_unknown": "the caller was told that it may have run",
     "call_ended": "the caller got the upstream's answer",
     "call_cancelled": "the caller left",
+    "request_refused": "it was refused before it was placed anywhere",
 }
 _LEFT_OUT = frozenset(
     {"event", "host", "number", "timestamp", "wall_us", "counter", "request_id"}
--- a/tests/core/test_story.py
+++ b/tests/core/test_story.py
@@ -46,3 +46,11 @@
         "b: the upstream ran it, and it failed (instance i-b, outcome lost)"
     )
     assert find_story(parse_lines(OUTPUT), "unheard-of") == []
+
+
+def test_a_request_that_was_refused_before_it_was_placed_is_told_too():
+    output = [line("a", "request_refused", request_id="r", reason="status 404")]
+    (story,) = find_story(parse_lines(output), "r")
+    assert tell(story) == (
+        "a: it was refused before it was placed anywhere (reason status 404)"
+    )
