Log who watches the store, when a revision was first heard of, late timers, calls left behind

The incident's three hypotheses look the same in today's logs: a node activates a revision late, and nothing says whether it knew of it (no news), waited for the document, or waited for its own event loop. Event 200 now tells when a newer revision was first named and by whom, 202 how long it was known, 213 who watches for the zone and how old the store's last answer is, 903 (and a histogram) how late timers fire, and 410 that a gate ended a call whose caller had left, and after how long. No decision changes.

--- a/agaterelay/adapters/log.py
+++ b/agaterelay/adapters/log.py
@@ -28,9 +28,11 @@
     EventKind.CALL_REPEATED: 20,
     EventKind.BUDGET_SPENT: 10,
     EventKind.CALL_ENDED: 20,
+    EventKind.CALL_ABANDONED: 20,
     EventKind.CALL_RAN: 10,
     EventKind.REQUEST_REFUSED: 20,
     EventKind.LIBRARY_WARNING: 20,
+    EventKind.LOOP_LATE: 5,
 }
 
 
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -62,12 +62,16 @@
     if table.revision <= held:
         return
     watch.state.table = table
+    links = watch.links
+    now_s = watch.context.clock.monotonic_s()
+    seen = links.seen_revision >= table.revision
     watch.context.record(
         EventKind.REVISION_ACTIVATED,
         revision=table.revision,
         before=held,
         routes=len(table.routes),
         source=source,
+        known_ms=round((now_s - links.seen_s) * 1000) if seen else 0,
     )
     if source == "store":
         tell_standbys(watch, [], [])
--- a/agaterelay/mesh/gate.py
+++ b/agaterelay/mesh/gate.py
@@ -177,6 +177,15 @@
             _grant_next(gate)
         outcome, arrived, ran_ms = ran
         return Ran(outcome, arrived, report_load(gate), ran_ms)
+    except asyncio.CancelledError:
+        gate.context.record(
+            EventKind.CALL_ABANDONED,
+            request_id=call.call_id,
+            route=call.route,
+            instance=call.instance,
+            elapsed_ms=round((gate.context.clock.monotonic_s() - came_s) * 1000),
+        )
+        raise
     finally:
         gate.in_flight -= 1
 
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -44,7 +44,8 @@
 class Links:
     """All links of a node, and the calls that others run through it.
 
-    ``unequal`` are the connections whose other end told a view that differs from this
+    ``seen_revision`` is the newest revision that another node named, first at
+    ``seen_s``. ``unequal`` are the connections whose other end told a view that differs from this
     node's: its fingerprint, and how many hosts it knows.
     """
 
@@ -62,6 +63,8 @@
     server: asyncio.Server | None = None
     asked_table_s: float = -1.0
     behind_s: float | None = None
+    seen_revision: int = 0
+    seen_s: float = 0.0
     asked_members_s: float = -1e9
     unequal_s: float | None = None
     unequal: dict[FrameConnection, tuple[tuple[int, ...], int]] = attrs.field(
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -46,6 +46,12 @@
                 ("log_lines_dropped", "Log lines left out lately."),
             )
         }
+        self.loop_lag = Histogram(
+            "agaterelay_loop_lag_seconds",
+            "How late timers fired.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self._children: dict[tuple[str, str], tuple[Counter, Histogram]] = {}
 
     def count_request(self, route: str, outcome: str, elapsed_s: float) -> None:
--- a/agaterelay/mesh/news.py
+++ b/agaterelay/mesh/news.py
@@ -202,6 +202,15 @@
         links.behind_s = None
         return
     now_s = links.context.clock.monotonic_s()
+    if revision > links.seen_revision:
+        links.seen_revision, links.seen_s = revision, now_s
+        links.context.record(
+            EventKind.REVISION_SEEN,
+            revision=revision,
+            before=revision_of(links.state),
+            peer=connection.host,
+            own_zone=in_own_zone(links.state, connection.host),
+        )
     if links.behind_s is None:
         links.behind_s = now_s
     waited = now_s - links.behind_s >= OTHER_ZONE_TABLE_DELAY_S
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -54,6 +54,8 @@
 CLOSING_RETRY_S = 0.2
 STOP_POLL_S = 0.05
 UPKEEP_PERIOD_S = 0.25
+# A lag of this size shows in the callers' times.
+NOTICED_LAG_S = 0.1
 
 
 @attrs.define
@@ -158,10 +160,25 @@
     return opened > MANY_CONNECTIONS and not isinstance(outcome, Answered)
 
 
+def note_lag(node: Node, lag_s: float) -> None:
+    """Measure how late a timer fired, and log it where callers notice."""
+    node.meters.loop_lag.observe(max(lag_s, 0.0))
+    if lag_s >= NOTICED_LAG_S:
+        node.context.record(
+            EventKind.LOOP_LATE,
+            lag_ms=round(lag_s * 1000),
+            requests_in_flight=node.entry.in_flight,
+            connections=len(node.callers.connections) if node.callers else 0,
+        )
+
+
 async def keep_up(node: Node) -> None:
     """Look after what changes slowly, until cancelled."""
+    clock = node.context.clock
     while True:
-        await node.context.clock.sleep(UPKEEP_PERIOD_S)
+        due_s = clock.monotonic_s() + UPKEEP_PERIOD_S
+        await clock.sleep(UPKEEP_PERIOD_S)
+        note_lag(node, clock.monotonic_s() - due_s)
         follow_readers(node.watch)
         follow_fleet_size(node.entry, node.context.deployment.bounds.retry_slack)
         lapse_if_silent(node.watch, node.gate)
--- a/agaterelay/mesh/readers.py
+++ b/agaterelay/mesh/readers.py
@@ -6,6 +6,7 @@
 
 from agaterelay.core.membership import Member
 from agaterelay.core.neighbours import READERS, readers_of
+from agaterelay.events import EventKind
 from agaterelay.mesh.links import follow_members
 from agaterelay.mesh.news import tell_zone
 from agaterelay.mesh.state import all_members
@@ -41,7 +42,8 @@
         and (member.host not in links or links[member.host].usable)
     ]
     readers = readers_of(hosts)
-    if readers != state.readers:
+    changed = readers != state.readers
+    if changed:
         state.readers = readers
         follow_members(watch.links)
     now_s = watch.context.clock.monotonic_s()
@@ -50,7 +52,17 @@
         default=-1e9,
     )
     recent = now_s - answered_s < FEED_WAIT_S + ANSWER_MARGIN_S
-    state.watching = must_watch(watch) and recent and not watch.lost
+    watching = must_watch(watch) and recent and not watch.lost
+    if changed or watching != state.watching:
+        state.watching = watching
+        watch.context.record(
+            EventKind.WATCH_CHANGED,
+            watching=watching,
+            readers=readers,
+            reachable=len(hosts),
+            lost=sorted(watch.lost),
+            answered_ms=round((now_s - answered_s) * 1000) if answered_s > 0 else None,
+        )
 
 
 def _tables(watch: Watch) -> tuple[str, str]:
