--- a/tests/mesh/test_readers.py
+++ b/tests/mesh/test_readers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from agaterelay.ports import PlatformError
 from standins.instance import announce
 from standins.store import put_row
 from tests.mesh.fleet import (
@@ -24,8 +25,6 @@
     monkeypatch.setattr("agaterelay.core.neighbours.MAX_WATCHERS", 1)
     monkeypatch.setattr("agaterelay.core.neighbours.READERS", 1)
     monkeypatch.setattr("agaterelay.mesh.readers.READERS", 1)
-    monkeypatch.setattr("agaterelay.mesh.readers.FEED_WAIT_S", 0.5)
-    monkeypatch.setattr("agaterelay.mesh.feeds.FEED_WAIT_S", 0.5)
 
 
 def watching(fleet):
@@ -84,6 +83,29 @@
     asyncio.run(play())
 
 
+async def no_answer(method, path, timeout_s, **options):
+    """Do as a store that takes a call and never answers it."""
+    await asyncio.sleep(timeout_s)
+    raise PlatformError(f"{path}: TimeoutError")
+
+
+def test_when_the_store_falls_silent_for_the_reader_the_zone_is_not_late():
+    async def play():
+        async with running_fleet(("desk", "desk", "panel")) as fleet:
+            await settle(fleet)
+            reader = watching(fleet)[0]
+            bound_s = reader.deployment.bounds.config_apply_s
+            reader.store._call = no_answer
+            # The call that waits is answered; the next one is not.
+            await put_row(fleet.store, "op", "wake", b"")
+            await asyncio.sleep(0.4)
+            await put_row(fleet.store, "op", "config", config(2, ROUTES))
+            nodes = [host.node for host in fleet.hosts]
+            await until(lambda: all(n.state.table.revision == 2 for n in nodes), bound_s)
+
+    asyncio.run(play())
+
+
 def test_a_host_that_joins_is_known_to_all_and_one_removed_is_forgotten():
     async def play():
         async with running_fleet(("desk", "desk")) as fleet:
