--- a/tests/mesh/test_readers.py
+++ b/tests/mesh/test_readers.py
@@ -101,7 +101,9 @@
             await asyncio.sleep(0.4)
             await put_row(fleet.store, "op", "config", config(2, ROUTES))
             nodes = [host.node for host in fleet.hosts]
-            await until(lambda: all(n.state.table.revision == 2 for n in nodes), bound_s)
+            await until(
+                lambda: all(n.state.table.revision == 2 for n in nodes), bound_s
+            )
 
     asyncio.run(play())
 
