Ask another zone for a newer configuration although one's neighbours are as late

Callers of a whole zone were served by an old revision for seconds (CONFIG). A node that heard of a newer revision from another zone only waits a moment for its own zone; each frame of a neighbour that was equally late set that wait back to its start, and a busy node gets one every few milliseconds. The class: a fact that is known (somebody is ahead) was dropped because somebody else did not know it.

Whom to ask and when is now decided in core/catch_up.py, by sources that are ahead; the wait runs from when the revision was first heard of and is set back only by progress. It is also looked at ten times a second and no longer only when a frame comes, and a source that sends nothing is passed over for another. A document is compressed once for all who ask. tests/mesh/test_news.py failed before (no request within 3 s) and passes now.

--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -13,6 +13,7 @@
 
 import msgpack
 
+from agaterelay.core.catch_up import note_held
 from agaterelay.events import EventKind
 from agaterelay.mesh.links import follow_members
 from agaterelay.mesh.news import log_move, log_order
@@ -62,16 +63,17 @@
     if table.revision <= held:
         return
     watch.state.table = table
-    links = watch.links
+    catch_up = watch.links.catch_up
     now_s = watch.context.clock.monotonic_s()
-    seen = links.seen_revision >= table.revision
+    note_held(catch_up, table.revision, now_s)
+    known = catch_up.seen >= table.revision
     watch.context.record(
         EventKind.REVISION_ACTIVATED,
         revision=table.revision,
         before=held,
         routes=len(table.routes),
         source=source,
-        known_ms=round((now_s - links.seen_s) * 1000) if seen else 0,
+        known_ms=round((now_s - catch_up.seen_s) * 1000) if known else 0,
     )
     if source == "store":
         tell_standbys(watch, [], [])
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -9,6 +9,7 @@
 import attrs
 
 from agaterelay.adapters.frames import FrameConnection
+from agaterelay.core.catch_up import CatchUp
 from agaterelay.core.placing import TargetLoad
 from agaterelay.mesh.gate import Gate
 from agaterelay.mesh.state import Context, MeshState
@@ -44,8 +45,7 @@
 class Links:
     """All links of a node, and the calls that others run through it.
 
-    ``seen_revision`` is the newest revision that another node named, first at
-    ``seen_s``. ``unequal`` are the connections whose other end told a view that differs from this
+    ``unequal`` are the connections whose other end told a view that differs from this
     node's: its fingerprint, and how many hosts it knows.
     """
 
@@ -61,10 +61,9 @@
     accepted: set[FrameConnection] = attrs.field(factory=set)
     own_load: TargetLoad = attrs.field(factory=TargetLoad)
     server: asyncio.Server | None = None
-    asked_table_s: float = -1.0
-    behind_s: float | None = None
-    seen_revision: int = 0
-    seen_s: float = 0.0
+    catch_up: CatchUp[FrameConnection] = attrs.field(factory=CatchUp)
+    # The document in force as it is sent to others, and its revision.
+    packed_table: tuple[int, bytes] = (0, b"")
     asked_members_s: float = -1e9
     unequal_s: float | None = None
     unequal: dict[FrameConnection, tuple[tuple[int, ...], int]] = attrs.field(
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -26,11 +26,14 @@
 from agaterelay.mesh.link import Link, LinkDownError, Links
 from agaterelay.mesh.news import (
     greet,
-    note_revision,
     note_watching,
     take_entries,
     take_hello,
     take_news,
+)
+from agaterelay.mesh.revisions import (
+    ask_for_table,
+    note_revision,
     take_table_frame,
 )
 from agaterelay.mesh.state import revision_of
@@ -331,6 +334,7 @@
             if link.connection is not None:
                 _watch_link(links, link, now_s)
         ask_for_entries(links)
+        ask_for_table(links)
 
 
 def _watch_link(links: Links, link: Link, now_s: float) -> None:
--- a/agaterelay/mesh/news.py
+++ b/agaterelay/mesh/news.py
@@ -3,12 +3,11 @@
 Whoever dials or is dialled tells its own entry and a fingerprint of its view, by which
 the views are made the same (``views.py``). After that a node tells changes of its own, and
 what it reads in the store where it watches for its zone. Every ping and answer
-carries a revision, and a node that is behind asks for the document.
+carries a revision (``revisions.py``).
 """
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Iterable
 from typing import Any
 
@@ -20,6 +19,7 @@
 from agaterelay.core.trial import MoveRecord, Order
 from agaterelay.events import EventKind
 from agaterelay.mesh.link import Links
+from agaterelay.mesh.revisions import note_revision
 from agaterelay.mesh.state import (
     Context,
     drop_member,
@@ -39,11 +39,6 @@
     order_to_wire,
 )
 
-# How long a node that is behind waits for its own zone before it asks another one.
-OTHER_ZONE_TABLE_DELAY_S = 0.5
-# A node that has asked for the document waits this long before it asks again.
-ASK_TABLE_AGAIN_S = 0.3
-
 
 def greet(links: Links, connection: FrameConnection) -> None:
     """Tell a node this host's entry, and by what the views can be compared."""
@@ -189,46 +184,3 @@
     if link is not None:
         now_s = links.context.clock.monotonic_s()
         link.watching_s = now_s if watching else -1e9
-
-
-def note_revision(links: Links, connection: FrameConnection, revision: int) -> None:
-    """Ask for the configuration where the other node is ahead.
-
-    A node of another zone is asked only where none of the own zone has it soon: a
-    document is large, and bytes between zones are dear. A node without any
-    configuration serves nobody, so it asks whoever it hears first.
-    """
-    if revision <= revision_of(links.state):
-        links.behind_s = None
-        return
-    now_s = links.context.clock.monotonic_s()
-    if revision > links.seen_revision:
-        links.seen_revision, links.seen_s = revision, now_s
-        links.context.record(
-            EventKind.REVISION_SEEN,
-            revision=revision,
-            before=revision_of(links.state),
-            peer=connection.host,
-            own_zone=in_own_zone(links.state, connection.host),
-        )
-    if links.behind_s is None:
-        links.behind_s = now_s
-    waited = now_s - links.behind_s >= OTHER_ZONE_TABLE_DELAY_S
-    waited |= links.state.table is None
-    if not waited and not in_own_zone(links.state, connection.host):
-        return
-    if now_s - links.asked_table_s < ASK_TABLE_AGAIN_S:
-        return
-    links.asked_table_s = now_s
-    connection.send([Frame.WANT_TABLE])
-
-
-def take_table_frame(
-    links: Links, connection: FrameConnection, frame: list[Any]
-) -> None:
-    """Hand out the configuration in force, or take in another node's."""
-    if frame[0] == Frame.WANT_TABLE and links.state.table is not None:
-        packed = zlib.compress(links.state.table.source, 3)
-        connection.send([Frame.TABLE, packed])
-    elif frame[0] == Frame.TABLE:
-        links.take_table(zlib.decompress(frame[1]))
--- a/tests/mesh/test_leaving_callers.py
+++ b/tests/mesh/test_leaving_callers.py
@@ -6,7 +6,6 @@
 
 from tests.mesh.fleet import ask, running_fleet, until
 
-
 REQUESTS = 20
 
 
--- a/tests/mesh/test_news.py
+++ b/tests/mesh/test_news.py
@@ -5,7 +5,7 @@
 from agaterelay.adapters.frames import Frame
 from agaterelay.core.membership import Member
 from agaterelay.core.model import RouteTable
-from agaterelay.mesh.news import note_revision
+from agaterelay.mesh.revisions import note_revision
 from tests.mesh.test_views import Clock, Wire, node_of
 
 NEAR, FAR = "10.0.1.1:1", "10.0.2.1:1"
