Do not rely on a reader whose store has fallen silent

Callers were served by an old revision (CONFIG): in a zone of more than 8 hosts two readers watch the store, and a reader whose waiting call was swallowed went on saying that it watches for up to 9.5 s; until then nobody else of its zone looked. The class: a claim that was true when it was made outlived what it rested on.

A reader's claim now ends when the answer to its open call is overdue, its calls for the operator's rows wait 0.8 s and not 8 s, and the zone is told at once when the claim begins or ends. Readers are also linked to the readers of other zones and tell each other of revisions, orders and moves, so that a zone whose readers are all cut off from the store hears without waiting for a ping. Nodes of small zones, which all watch, ask as seldom as before.

--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -18,7 +18,13 @@
 from agaterelay.mesh.links import follow_members
 from agaterelay.mesh.news import log_move, log_order
 from agaterelay.mesh.own_row import begin_again, take_own_row
-from agaterelay.mesh.readers import FEED_WAIT_S, must_watch, tell_standbys
+from agaterelay.mesh.readers import (
+    covers_others,
+    feed_wait_s,
+    must_watch,
+    tell_revision,
+    tell_standbys,
+)
 from agaterelay.mesh.state import (
     drop_member,
     revision_of,
@@ -75,8 +81,8 @@
         source=source,
         known_ms=round((now_s - catch_up.seen_s) * 1000) if known else 0,
     )
-    if source == "store":
-        tell_standbys(watch, [], [])
+    if source == "store" or covers_others(watch):
+        tell_revision(watch)
 
 
 def _take_operator_row(watch: Watch, row: StoredRow) -> None:
@@ -87,7 +93,7 @@
     order = watch.formats.decode_order(row)
     if order is not None and take_order(watch.state, order):
         log_order(watch.context, order, "store")
-        tell_standbys(watch, [], [])
+        tell_revision(watch)
 
 
 def _take_fleet_row(watch: Watch, row: StoredRow) -> None:
@@ -96,7 +102,7 @@
         record = move_from_wire(msgpack.unpackb(row.value))
         if take_move(watch.state, record, now_s, stored=True):
             log_move(watch.context, record, "store")
-            tell_standbys(watch, [], [])
+            tell_revision(watch)
     if not row.key.startswith(MEMBER_PREFIX):
         return
     host = row.key.removeprefix(MEMBER_PREFIX)
@@ -159,6 +165,8 @@
         if not must_watch(watch):
             await clock.sleep(STANDBY_PERIOD_S)
             continue
+        wait_s = 0.0 if version is None else feed_wait_s(watch, table)
+        watch.answer_due_s[table] = clock.monotonic_s() + wait_s
         try:
             if version is None:
                 changes = await watch.context.store.read_table(table)
@@ -166,7 +174,7 @@
                     _drop_missing(watch, changes)
             else:
                 changes = await watch.context.store.wait_for_changes(
-                    table, version, FEED_WAIT_S
+                    table, version, wait_s
                 )
         except HistoryLostError:
             version = None
@@ -176,6 +184,8 @@
             await clock.sleep(retry_s * (0.5 + random.random()))
             retry_s = min(retry_s * 2, MAX_RETRY_S)
             continue
+        finally:
+            del watch.answer_due_s[table]
         note_back(watch, table)
         watch.answered_s[table] = clock.monotonic_s()
         retry_s = FIRST_RETRY_S
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -88,6 +88,8 @@
     state = links.state
     wanted = wanted_hosts(state.own, state.members.values())
     wanted.update(host for host in state.readers if host in state.members)
+    if state.own.host in state.readers:
+        wanted.update(host for host in state.far_readers if host in state.members)
     for host in wanted:
         if host not in links.links:
             link = links.links[host] = Link(host)
--- a/agaterelay/mesh/news.py
+++ b/agaterelay/mesh/news.py
@@ -81,6 +81,15 @@
     _tell(links, members, removed, own_zone_only=True)
 
 
+def tell_hosts(links: Links, hosts: Iterable[str]) -> None:
+    """Tell some hosts of the revision, the moves and the orders that this node knows."""
+    frame = _news_frame(links, [], [])
+    for host in hosts:
+        link = links.links.get(host)
+        if link is not None and link.connection is not None:
+            link.connection.send(frame)
+
+
 def _tell(
     links: Links,
     members: Iterable[Member],
--- a/agaterelay/mesh/readers.py
+++ b/agaterelay/mesh/readers.py
@@ -8,15 +8,18 @@
 from agaterelay.core.neighbours import READERS, readers_of
 from agaterelay.events import EventKind
 from agaterelay.mesh.links import follow_members
-from agaterelay.mesh.news import tell_zone
+from agaterelay.mesh.news import tell_hosts, tell_zone
 from agaterelay.mesh.state import all_members
 from agaterelay.mesh.watch import FLEET_TABLE, Watch
 
-# Long enough that an idle fleet asks little, short enough that a feed that has fallen
-# silent is noticed while links still bring the news.
+# Long enough that an idle fleet asks little.
 FEED_WAIT_S = 8.0
+# Others rely on a reader's feed of the operator's rows and look for themselves when it
+# says that the store is silent: both have to fit into the time in which a
+# configuration is in force everywhere.
+COVERING_WAIT_S = 0.8
 # How much later than asked the answer to a waiting call may come.
-ANSWER_MARGIN_S = 1.5
+ANSWER_MARGIN_S = 0.4
 # How long a reader's word that it watches holds; it gives it once a second.
 COVERED_S = 2.5
 
@@ -31,38 +34,85 @@
         tell_zone(watch.links, members, removed)
 
 
+def tell_revision(watch: Watch) -> None:
+    """Tell who relies on this node that it holds a newer configuration, order or move.
+
+    Readers of other zones are told too: where the store is silent to all readers of a
+    zone, they are the ones through whom it hears.
+    """
+    tell_standbys(watch, [], [])
+    if covers_others(watch):
+        tell_hosts(watch.links, watch.state.far_readers)
+
+
+def covers_others(watch: Watch) -> bool:
+    """Return whether other nodes of the zone rely on this one's feeds."""
+    readers = watch.state.readers
+    return len(readers) <= READERS and watch.state.own.host in readers
+
+
+def feed_wait_s(watch: Watch, table: str) -> float:
+    """Return how long a call for changes of a table waits for one."""
+    covering = table == watch.formats.table and covers_others(watch)
+    return COVERING_WAIT_S if covering else FEED_WAIT_S
+
+
 def follow_readers(watch: Watch) -> None:
     """Note which hosts watch the store for this zone, and whether this one does."""
-    state, links = watch.state, watch.links.links
-    hosts = [
-        member.host
-        for member in all_members(state)
-        if member.zone == state.own.zone
-        and member.usable
-        and (member.host not in links or links[member.host].usable)
-    ]
+    state = watch.state
+    reachable = _reachable_by_zone(watch)
+    hosts = reachable.pop(state.own.zone, [])
     readers = readers_of(hosts)
-    changed = readers != state.readers
+    far_readers = tuple(
+        host for zone in sorted(reachable) for host in readers_of(reachable[zone])
+    )[: READERS * len(reachable)]
+    changed = (readers, far_readers) != (state.readers, state.far_readers)
     if changed:
-        state.readers = readers
+        state.readers, state.far_readers = readers, far_readers
         follow_members(watch.links)
+    watching = must_watch(watch) and _is_answered(watch)
+    if not changed and watching == state.watching:
+        return
+    told = watching != state.watching
+    state.watching = watching
+    _log_watch(watch, len(hosts))
+    if told:
+        tell_standbys(watch, [], [])
+
+
+def _reachable_by_zone(watch: Watch) -> dict[str, list[str]]:
+    links = watch.links.links
+    reachable: dict[str, list[str]] = {}
+    for member in all_members(watch.state):
+        linked = member.host not in links or links[member.host].usable
+        if member.usable and linked:
+            reachable.setdefault(member.zone, []).append(member.host)
+    return reachable
+
+
+def _is_answered(watch: Watch) -> bool:
+    """Return whether the store has answered both feeds, and no answer is overdue."""
+    now_s = watch.context.clock.monotonic_s()
+    overdue = any(
+        now_s > due_s + ANSWER_MARGIN_S for due_s in watch.answer_due_s.values()
+    )
+    answered = all(table in watch.answered_s for table in _tables(watch))
+    return answered and not overdue and not watch.lost
+
+
+def _log_watch(watch: Watch, reachable: int) -> None:
     now_s = watch.context.clock.monotonic_s()
-    answered_s = min(
-        (watch.answered_s.get(table, -1e9) for table in _tables(watch)),
-        default=-1e9,
+    watch.context.record(
+        EventKind.WATCH_CHANGED,
+        watching=watch.state.watching,
+        readers=watch.state.readers if len(watch.state.readers) <= READERS else "all",
+        reachable=reachable,
+        lost=sorted(watch.lost),
+        answered_ms={
+            table: round((now_s - answered_s) * 1000)
+            for table, answered_s in watch.answered_s.items()
+        },
     )
-    recent = now_s - answered_s < FEED_WAIT_S + ANSWER_MARGIN_S
-    watching = must_watch(watch) and recent and not watch.lost
-    if changed or watching != state.watching:
-        state.watching = watching
-        watch.context.record(
-            EventKind.WATCH_CHANGED,
-            watching=watching,
-            readers=readers,
-            reachable=len(hosts),
-            lost=sorted(watch.lost),
-            answered_ms=round((now_s - answered_s) * 1000) if answered_s > 0 else None,
-        )
 
 
 def _tables(watch: Watch) -> tuple[str, str]:
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -49,6 +49,7 @@
     fleet_known: bool = False  # written by the feeds
     watching: bool = False  # written by the feeds
     readers: tuple[str, ...] = ()  # written by the feeds
+    far_readers: tuple[str, ...] = ()  # written by the feeds
     buried: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     own_row_lost: bool = False  # written by the links, cleared by own_row
     stopping: bool = False  # written by the node
--- a/agaterelay/mesh/watch.py
+++ b/agaterelay/mesh/watch.py
@@ -36,6 +36,8 @@
     """What the watching tasks hold.
 
     ``row_version`` is the version of this host's row as last read or written.
+    ``answered_s`` and ``answer_due_s`` say for each table when the store last answered,
+    and until when it is to answer the call that is open.
     """
 
     context: Context
@@ -47,6 +49,7 @@
     member_versions: dict[str, int] = attrs.field(factory=dict)
     lost: set[str] = attrs.field(factory=set)
     answered_s: dict[str, float] = attrs.field(factory=dict)
+    answer_due_s: dict[str, float] = attrs.field(factory=dict)
 
 
 def note_lost(watch: Watch, table: str, reason: str) -> None:
--- a/tests/mesh/test_readers.py
+++ b/tests/mesh/test_readers.py
@@ -108,6 +108,32 @@
     asyncio.run(play())
 
 
+def test_a_zone_whose_store_is_silent_hears_from_readers_of_another_without_pings(
+    monkeypatch,
+):
+    monkeypatch.setattr("agaterelay.mesh.links.IDLE_PING_S", 60.0)
+    monkeypatch.setattr("agaterelay.mesh.readers.COVERED_S", 60.0)
+
+    async def play():
+        async with running_fleet(("desk", "desk")) as fleet:
+            for service in ("desk", "desk", "desk"):
+                await add_host(fleet, service, zone="b")
+            nodes = [host.node for host in fleet.hosts]
+            await until(lambda: all(len(n.state.members) == 4 for n in nodes))
+            await until(lambda: sum(n.state.watching for n in nodes) == 2)
+            await until(lambda: all(n.state.far_readers for n in nodes))
+            await asyncio.sleep(0.5)
+            for host in fleet.hosts:
+                if host.deployment.zone == "b":
+                    host.store._call = no_answer
+            await put_row(fleet.store, "op", "wake", b"")
+            await asyncio.sleep(0.4)
+            await put_row(fleet.store, "op", "config", config(2, ROUTES))
+            await until(lambda: all(n.state.table.revision == 2 for n in nodes), 1.5)
+
+    asyncio.run(play())
+
+
 def test_a_host_that_joins_is_known_to_all_and_one_removed_is_forgotten():
     async def play():
         async with running_fleet(("desk", "desk")) as fleet:
