Refuse a request whose caller has closed its connection before it was read

Instances worked for callers that had left (GONE). A request that waits unread on a busy or frozen host until its caller gives up is read together with the close behind it; the event loop hands out the request first, and it was on an instance before the close was seen.

The entry now looks in the socket for a close before it places a request.

--- a/agaterelay/mesh/callers.py
+++ b/agaterelay/mesh/callers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -114,6 +115,21 @@
         self.transport.close()
 
 
+def has_left(request: web.BaseRequest) -> bool:
+    """Return whether the caller has closed its connection.
+
+    The close is seen in the socket, where it stands behind the request: the event loop
+    tells of it only after the request has been handled for a turn, too late for one
+    that waited unread on a busy host until its caller gave up.
+    """
+    transport = request.transport
+    if transport is None or transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def head_size_bytes(request: web.BaseRequest) -> int:
     """Return the size of a request's head, its first line left out."""
     return sum(
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -20,7 +20,7 @@
 from agaterelay.core.retry_budget import RetryBudget, budget_of
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import lapse_if_silent, tell_stopping
-from agaterelay.mesh.callers import CallersServer, read_whole
+from agaterelay.mesh.callers import CallersServer, has_left, read_whole
 from agaterelay.mesh.entry import follow_fleet_size, give_up_rest, serve
 from agaterelay.mesh.feeds import watch_fleet, watch_operator
 from agaterelay.mesh.gate import Gate, follow_line
@@ -115,6 +115,8 @@
     )
     if node.closing or isinstance(body, int):
         return _refuse(node, wanted.call_id, body)
+    if has_left(request):
+        return _refuse(node, wanted.call_id, body, "the caller has left")
     outcome = await serve(node.entry, wanted)
     response = response_of(outcome)
     if node.state.stopping or _should_close(node, outcome):
@@ -122,20 +124,23 @@
     return response
 
 
-def _refuse(node: Node, call_id: str, body: bytes | int) -> web.Response:
+def _refuse(
+    node: Node, call_id: str, body: bytes | int, why: str = "the node is stopping"
+) -> web.Response:
     """Refuse a request before its route is sought, and end its connection.
 
     Args:
         node: The node.
         call_id: The request's id, as its caller gave it.
         body: The status that says what is wrong with the request, or its body where
-            nothing is and the node is stopping.
+            nothing is.
+        why: The reason where nothing is wrong with the request.
     """
     if isinstance(body, int):
         reason = HTTPStatus(body).phrase
         response = web.Response(status=body, text=f"{reason}\n")
     else:
-        reason = "the node is stopping"
+        reason = why
         response = response_of(NotRun(reason, CLOSING_RETRY_S))
     record_refused(node, reason, response.status, call_id)
     response.force_close()
