Forget a call that was cancelled before its task began

A cancel that comes together with its call ends the task before it runs any code, so that the task's own clean-up never ran and the node kept the call for good. The node now forgets it when the task is done. The test fails before.

--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -167,6 +167,10 @@
         number = frame[1]
         task = asyncio.create_task(_serve_call(links, connection, number, frame[2]))
         links.running[connection, number] = task
+        # A task that is cancelled before it began runs no code of its own.
+        task.add_done_callback(
+            lambda task: links.running.pop((connection, number), None)
+        )
         note_revision(links, connection, frame[3])
     elif kind == Frame.CANCEL:
         task = links.running.get((connection, frame[1]))
@@ -217,14 +221,9 @@
 async def _serve_call(
     links: Links, connection: FrameConnection, number: int, plain: list[Any]
 ) -> None:
-    try:
-        call = call_from_wire(plain, links.context.clock.monotonic_s())
-        ran = await run_call(links.gate, call)
-        connection.send(
-            [Frame.RESULT, number, ran_to_wire(ran), revision_of(links.state)]
-        )
-    finally:
-        links.running.pop((connection, number), None)
+    call = call_from_wire(plain, links.context.clock.monotonic_s())
+    ran = await run_call(links.gate, call)
+    connection.send([Frame.RESULT, number, ran_to_wire(ran), revision_of(links.state)])
 
 
 def _take_reply(links: Links, link: Link, frame: list[Any]) -> None:
--- a/tests/mesh/test_leaving_callers.py
+++ b/tests/mesh/test_leaving_callers.py
@@ -4,6 +4,10 @@
 import os
 import socket
 
+from agaterelay.adapters.frames import Frame, FrameConnection
+from agaterelay.core.call import Call
+from agaterelay.mesh.links import _take_frame
+from agaterelay.mesh.wire import call_to_wire
 from tests.mesh.fleet import ask, running_fleet, until
 
 REQUESTS = 20
@@ -71,7 +75,38 @@
     asyncio.run(play())
 
 
-def test_a_call_that_is_cancelled_before_it_began_leaves_nothing_behind():
+def test_a_call_that_came_together_with_its_end_leaves_nothing_behind():
+    async def play():
+        async with running_fleet(("desk",)) as fleet:
+            node = fleet.hosts[0].node
+            connection = FrameConnection(lambda *_: None, lambda *_: None)
+            call = Call(
+                call_id="left",
+                method="GET",
+                path="/read/x",
+                headers=(),
+                body=b"",
+                route="rread",
+                service="desk",
+                version="v1",
+                instance="i-0",
+                caller_service="desk",
+                idempotent=True,
+                rank=1,
+                deadline_s=1.0,
+                target_s=1.0,
+            )
+            plain = call_to_wire(call, 0.0)
+            _take_frame(node.links, connection, [Frame.CALL, 1, plain, 1])
+            _take_frame(node.links, connection, [Frame.CANCEL, 1])
+            await asyncio.sleep(0.1)
+            assert not node.links.running
+            assert not left(fleet)
+
+    asyncio.run(play())
+
+
+def test_a_call_whose_caller_left_while_it_ran_elsewhere_is_ended_there():
     async def play():
         async with running_fleet(("panel", "desk")) as fleet:
             entry, gate = (host.node for host in fleet.hosts)
