Give up answers without end as soon as they are longer than an answer may be

The client read them into memory until the call's time was over (64 MiB a connection for bodies, no bound at all for heads, interim answers, extensions of chunks and trailers), on hosts with 200 MB.

Heads and framing are now bounded for each call, answers to others are counted, a body may have 16 MiB, and all answers of an upstream that are being read 32 MiB together; beyond that the largest is given up, so that a sound answer beside it is not lost. Frames between nodes are bounded to match.

--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -16,8 +16,8 @@
 
 import msgpack
 
-# A frame holds one call's body at most; bodies are bounded by the operator's limits.
-MAX_FRAME_BYTES = 80 << 20
+# A frame holds one call's body or one answer at most, and some fields beside it.
+MAX_FRAME_BYTES = 24 << 20
 # The other end is gone when it acknowledges nothing for this long.
 USER_TIMEOUT_MS = 1500
 KEEPALIVE_S = 1
--- a/agaterelay/adapters/upstream_client.py
+++ b/agaterelay/adapters/upstream_client.py
@@ -3,7 +3,8 @@
 An upstream may answer twice, late, in part, or with bytes that are no answer. Each
 answer names the call that it is for, so an answer to another call is skipped and the
 next one on the same connection is read. A connection on which anything odd happened is
-not used again.
+not used again. What comes without end, in a head or in a body, is given up as soon as it
+is more than an answer may be, not when the call's time is over.
 """
 
 from __future__ import annotations
@@ -22,7 +23,15 @@
 # Idle connections are given up before the upstream closes them.
 IDLE_PART = 0.7
 DEFAULT_IDLE_S = 4.0
-MAX_ANSWER_BYTES = 64 << 20
+# A host has 200 MB at least; an answer is copied some times on its way to the caller.
+MAX_ANSWER_BYTES = 16 << 20
+MAX_HELD_BYTES = 32 << 20
+# What a call may receive beside bodies: heads, sizes of chunks, trailers. Small chunks
+# need several times their own size.
+MAX_FRAMING_BYTES = 64 << 10
+FRAMING_BYTES_PER_BODY_BYTE = 8
+# Interim answers, and late ones to other calls, that are read for one call at most.
+MAX_ANSWERS_PER_CALL = 16
 
 
 class NotSentError(Exception):
@@ -44,12 +53,43 @@
         self.body = body
 
 
+class AnswerMemory:
+    """The bytes of all answers of an upstream that are being read.
+
+    Where they become too many, the connection that holds most is told to give up, so
+    that one answer without end takes no room from the others.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self._held_bytes: dict[UpstreamConnection, int] = {}
+        self._total_bytes = 0
+
+    def add(self, connection: UpstreamConnection, size_bytes: int) -> None:
+        """Count bytes that a connection has taken in."""
+        self._held_bytes[connection] = self._held_bytes.get(connection, 0) + size_bytes
+        self._total_bytes += size_bytes
+        if self._total_bytes > self.limit_bytes:
+            largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
+            largest.give_up("the answer is too large")
+
+    def release(self, connection: UpstreamConnection) -> None:
+        """Forget what a connection held."""
+        self._total_bytes -= self._held_bytes.pop(connection, 0)
+
+
 class UpstreamConnection(asyncio.Protocol):
     """One connection to an upstream; owns its socket and the answer being read."""
 
-    def __init__(self, id_header: bytes, on_lost: Callable[..., None]) -> None:
+    def __init__(
+        self, id_header: bytes, on_lost: Callable[..., None], memory: AnswerMemory
+    ) -> None:
         self._id_header = id_header
         self._on_lost = on_lost
+        self._memory = memory
+        self._framing_bytes = 0
+        self._body_bytes = 0
+        self._answers = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[UpstreamAnswer] | None = None
@@ -65,6 +105,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._size_bytes = 0
+        self._memory.release(self)
         self._headers_complete = False
         self._framed = False
 
@@ -92,6 +133,7 @@
             raise NotSentError("the connection was closed")
         self._call_id = call_id
         self._head_only = head_only
+        self._framing_bytes = self._body_bytes = self._answers = 0
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(head + body if body else head)
         return self._waiter
@@ -108,6 +150,7 @@
             # Nothing was asked: an answer that came twice.
             self.close()
             return
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(data)
         except (
@@ -115,9 +158,18 @@
             httptools.HttpParserCallbackError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self.reusable = False
-            self._fail(f"not an answer: {type(error).__name__}")
-            self.close()
+            self.give_up(f"not an answer: {type(error).__name__}")
+            return
+        self._framing_bytes += len(data) - (self._body_bytes - body_bytes)
+        allowed_bytes = FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
+        if self._framing_bytes > MAX_FRAMING_BYTES + allowed_bytes:
+            self.give_up("more framing than an answer has")
+
+    def give_up(self, reason: str) -> None:
+        """Fail the call that waits and close the connection."""
+        self._fail(reason)
+        self._reset_answer()
+        self.close()
 
     def eof_received(self) -> bool:
         """Note a clean end, which completes an answer that says no length."""
@@ -132,6 +184,7 @@
         self.reusable = False
         self._transport = None
         self._fail(type(exc).__name__ if exc else "closed")
+        self._memory.release(self)
         self._on_lost(self)
 
     def _fail(self, reason: str) -> None:
@@ -172,16 +225,23 @@
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body."""
         self._size_bytes += len(part)
+        self._body_bytes += len(part)
+        if self._waiter is None:
+            return
         if self._size_bytes > MAX_ANSWER_BYTES:
-            self.reusable = False
-            self._fail("the answer is too large")
+            self.give_up("the answer is too large")
             return
         self._body.append(part)
+        self._memory.add(self, len(part))
 
     def on_message_complete(self) -> None:
         """Hand out the answer, unless it is an interim one or another call's."""
         status = self._parser.get_status_code()
         waiter = self._waiter
+        self._answers += 1
+        if self._answers > MAX_ANSWERS_PER_CALL:
+            self.give_up("too many answers to one call")
+            return
         if status < 200 or waiter is None:
             return
         keys = {name.lower(): value for name, value in self._headers}
@@ -201,13 +261,17 @@
             waiter.set_result(
                 UpstreamAnswer(status, tuple(self._headers), b"".join(self._body))
             )
+        self._reset_answer()
 
 
 class UpstreamPool:
     """The connections to one upstream; the one used last is used next."""
 
-    def __init__(self, address: str, id_header: bytes) -> None:
+    def __init__(
+        self, address: str, id_header: bytes, held_bytes: int = MAX_HELD_BYTES
+    ) -> None:
         host, _, port = address.rpartition(":")
+        self._memory = AnswerMemory(held_bytes)
         self._host, self._port = host, int(port)
         self._id_header = id_header
         self._idle: list[UpstreamConnection] = []
@@ -235,7 +299,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._id_header, self._forget),
+                    lambda: UpstreamConnection(
+                        self._id_header, self._forget, self._memory
+                    ),
                     self._host,
                     self._port,
                 )
--- /dev/null
+++ b/tests/adapters/test_upstream_client.py
@@ -0,0 +1,115 @@
+"""What comes from an upstream without end is given up, and its connection closed."""
+
+import asyncio
+import contextlib
+import itertools
+
+import pytest
+
+from agaterelay.adapters.upstream_client import (
+    AnswerLostError,
+    UpstreamPool,
+    render_head,
+)
+from tests.mesh.fleet import free_address
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Id: one\r\n"
+PART = b"a" * 4096
+OTHER = b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4096\r\n\r\n" + PART
+ENDLESS = {
+    "not a head": (b"", PART),
+    "a status line": (b"HTTP/1.1 200 ", PART),
+    "a header's name": (HEAD, PART),
+    "a header's value": (HEAD + b"X-Long: ", PART),
+    "header lines": (HEAD, b"X-More: again\r\n" * 256),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 128),
+    "answers to others": (b"", OTHER),
+    "a body without a length": (HEAD + b"\r\n", PART),
+    "a body in chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + PART + b"\r\n",
+    ),
+    "a chunk's extension": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n1000;x=",
+        PART,
+    ),
+    "trailers": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-More: again\r\n" * 256,
+    ),
+    "a body that is longer than it can be": (
+        HEAD + b"Content-Length: 1000000000000\r\n\r\n",
+        PART,
+    ),
+}
+# More than any test sends; an upstream that gets this far was never stopped.
+MOST_BYTES = 512 << 20
+MEMORY_BYTES = 8 << 20
+
+
+@contextlib.asynccontextmanager
+async def upstream(first, rest):
+    """Serve what begins in one way and goes on in another until the caller closes."""
+    sent = {"bytes": 0, "closed": asyncio.Event()}
+
+    async def serve(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first)
+            for _ in itertools.count():
+                writer.write(rest)
+                sent["bytes"] += len(rest)
+                await writer.drain()
+                if sent["bytes"] > MOST_BYTES:
+                    break
+        except ConnectionError:
+            pass
+        finally:
+            sent["closed"].set()
+            writer.close()
+
+    address = free_address()
+    host, port = address.rsplit(":", 1)
+    server = await asyncio.start_server(serve, host, int(port))
+    try:
+        yield address, sent
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_bytes_without_end_are_given_up_and_the_connection_is_closed(kind):
+    async def play():
+        async with upstream(*ENDLESS[kind]) as (address, sent):
+            pool = UpstreamPool(address, b"x-id", MEMORY_BYTES)
+            connection = await pool.take(0.0)
+            head = render_head("GET", "/x", ((b"Host", b"a"),), b"")
+            async with asyncio.timeout(5):
+                with pytest.raises(AnswerLostError):
+                    await connection.send(head, b"", b"one", False)
+                await sent["closed"].wait()
+            assert sent["bytes"] < 3 * MEMORY_BYTES
+            assert not connection.open
+
+    asyncio.run(play())
+
+
+def test_a_small_answer_is_whole_beside_one_without_end():
+    async def play():
+        body = b"b" * 20_000
+        small = HEAD + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+        async with upstream(*ENDLESS["a body in chunks"]) as (address, _):
+            pool = UpstreamPool(address, b"x-id", MEMORY_BYTES)
+            endless = await pool.take(0.0)
+            head = render_head("GET", "/x", ((b"Host", b"a"),), b"")
+            lost = endless.send(head, b"", b"one", False)
+            other = await pool.take(0.0)
+            waiting = other.send(head, b"", b"one", False)
+            other.data_received(small)
+            answer = await waiting
+            assert answer.body == body
+            async with asyncio.timeout(5):
+                with pytest.raises(AnswerLostError):
+                    await lost
+
+    asyncio.run(play())
