--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -56,17 +56,21 @@
     id_header=headers.ATTEMPT_ID_KEY,
     instance_header=headers.INSTANCE_ID_KEY,
 )
-OPERATOR = OperatorFormat(
-    table=orders.OPERATOR_TABLE,
-    config_key=config.CONFIG_KEY,
-    decode_config=config.decode_config,
-    decode_order=orders.decode_order,
-)
 VERDICTS = VerdictFormat(
     table=orders.STATUS_TABLE, key=orders.status_key, encode=orders.encode_status
 )
 
 
+def operator_format() -> OperatorFormat:
+    """Return how the operator's rows look, with a memory of the routes decoded last."""
+    return OperatorFormat(
+        table=orders.OPERATOR_TABLE,
+        config_key=config.CONFIG_KEY,
+        decode_config=partial(config.decode_config, known=config.KnownRoutes()),
+        decode_order=orders.decode_order,
+    )
+
+
 def build(deployment: Deployment, clock: Clock, store: Store) -> Node:
     """Wire the parts of a node together; nothing runs yet."""
     record = make_recorder(Timeline(deployment.name, clock.now))
@@ -83,7 +87,7 @@
             take_config(watch, value, "link")
 
     links = Links(context, state, gate, take_table)
-    watch = Watch(context, state, links, OPERATOR)
+    watch = Watch(context, state, links, operator_format())
     entry = Entry(context, state, links, new_budget(deployment.bounds))
     meters = Meters()
     entry.count_end = meters.count_request
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -140,7 +140,8 @@
 def _take_rows(
     watch: Watch, changes: Changes, take: Callable[[Watch, StoredRow], None]
 ) -> None:
-    for row in changes.rows:
+    # Of changes that come together only the last of each row matters.
+    for row in {row.key: row for row in changes.rows}.values():
         try:
             take(watch, row)
         except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
--- a/agaterelay/platform/config.py
+++ b/agaterelay/platform/config.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Hashable, Mapping, Sequence
 from typing import Any
 
+import attrs
+
 from agaterelay.core.model import CallerLimits, Finding, Place, Route, RouteTable
 from agaterelay.platform.units import parse_seconds
 
@@ -20,11 +22,26 @@
 _MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
+@attrs.define
+class KnownRoutes:
+    """The routes of the configuration decoded last, by their encoded rows."""
+
+    columns: tuple[str, ...] = ()
+    routes: dict[Hashable, Route] = attrs.field(factory=dict)
+
+
 def decode_config(
-    value: bytes, filename: str = "op/config"
+    value: bytes, filename: str = "op/config", known: KnownRoutes | None = None
 ) -> tuple[RouteTable | None, tuple[Finding, ...]]:
     """Decode a configuration document.
 
+    Args:
+        value: The document.
+        filename: What findings name as its place.
+        known: The routes that were decoded last, changed in place. Successive
+            configurations differ in a few of some thousand routes; the others are
+            taken from here.
+
     Returns:
         The configuration and no findings, or None and all findings.
     """
@@ -38,17 +55,25 @@
         tree = json.loads(value)
         revision = int(tree["version"], 16)
         limits = _decode_limits(tree.get("limits") or {})
-        route_rows = _records(tree["routes"])
+        columns = tuple(tree["routes"]["columns"])
+        route_rows = list(tree["routes"]["rows"])
         service_rows = _records(tree["services"])
     except _MALFORMED as error:
         note("", error)
         return None, tuple(findings)
     routes: list[Route] = []
+    before = known.routes if known and known.columns == columns else {}
+    decoded: dict[Hashable, Route] = {}
+    place = Place(filename)
     for number, row in enumerate(route_rows, 1):
         try:
-            routes.append(_decode_route(row, Place(filename)))
+            key = _row_key(row)
+            route = before.get(key) or _decode_route(_record(columns, row), place)
         except _MALFORMED as error:
             note(f"routes, row {number}", error)
+        else:
+            routes.append(route)
+            decoded[key] = route
     health_paths: dict[str, str] = {}
     for number, row in enumerate(service_rows, 1):
         try:
@@ -57,26 +82,44 @@
             note(f"services, row {number}", error)
     if findings:
         return None, tuple(findings)
+    if known is not None:
+        known.columns, known.routes = columns, decoded
     return RouteTable(revision, tuple(routes), health_paths, limits, value), ()
 
 
+def _row_key(row: Any) -> Hashable:
+    """Return what tells a row from all others that differ from it.
+
+    Rows of a split hold a list and are told by their text.
+    """
+    key = tuple(row)
+    try:
+        hash(key)
+    except TypeError:
+        return repr(row)
+    return key
+
+
+def _record(columns: Sequence[str], row: Sequence[Any]) -> Mapping[str, Any]:
+    """Return a row of a list that names its columns once; null means left out.
+
+    Raises:
+        ValueError: The row has more or fewer values than there are columns.
+    """
+    return {
+        name: value
+        for name, value in zip(columns, row, strict=True)
+        if value is not None
+    }
+
+
 def _records(encoded: Any) -> list[Mapping[str, Any]]:
     """Return the records of a list that names its columns once.
 
-    Null means left out.
-
     Raises:
         ValueError: A row has more or fewer values than there are columns.
     """
-    columns = encoded["columns"]
-    return [
-        {
-            name: value
-            for name, value in zip(columns, row, strict=True)
-            if value is not None
-        }
-        for row in encoded["rows"]
-    ]
+    return [_record(encoded["columns"], row) for row in encoded["rows"]]
 
 
 def _decode_limits(fields: Mapping[str, Any]) -> CallerLimits:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -3,11 +3,12 @@
 import json
 
 import pytest
+from hypothesis import given, strategies as st
 
 from agaterelay.core.model import MoveState
 from agaterelay.core.outcome import Answered, NotRun, Unknown
 from agaterelay.platform.announcements import decode_announcement, decode_born_ms
-from agaterelay.platform.config import decode_config
+from agaterelay.platform.config import KnownRoutes, decode_config
 from agaterelay.platform.headers import answer_of, forwarded_headers
 from agaterelay.platform.orders import decode_order, encode_status
 from agaterelay.platform.settings import parse_deployment
@@ -94,6 +95,41 @@
     assert all(str(item).startswith("row.json:1:1:") for item in findings)
 
 
+ROW = st.builds(
+    lambda prefix, timeout, parts: route(
+        prefix,
+        timeout=timeout,
+        service=None if parts else "desk",
+        weightedClusters=parts,
+    ),
+    st.sampled_from(["/a/", "/b/", "/c/"]),
+    st.sampled_from(["100ms", "2s", "soon", None]),
+    st.sampled_from([None, [{"service": "desk", "weight": 3}], [{"service": "x"}]]),
+)
+
+
+@given(st.lists(st.lists(ROW, max_size=4), max_size=4))
+def test_what_was_decoded_before_changes_nothing_in_what_is_decoded_now(documents):
+    known = KnownRoutes()
+    for number, rows in enumerate(documents, 1):
+        value = config(number, rows)
+        table, findings = decode_config(value, known=known)
+        plain, plain_findings = decode_config(value)
+        assert table == plain
+        assert list(map(str, findings)) == list(map(str, plain_findings))
+
+
+def test_rows_under_other_columns_are_decoded_anew():
+    known = KnownRoutes()
+    first = json.loads(config(1, [route("/a/", service="desk")]))
+    decode_config(json.dumps(first).encode(), known=known)
+    columns = first["routes"]["columns"]
+    at, to = columns.index("host"), columns.index("service")
+    columns[at], columns[to] = columns[to], columns[at]
+    table, _ = decode_config(json.dumps(first).encode(), known=known)
+    assert (table.routes[0].host, table.routes[0].service) == ("desk", "app.example")
+
+
 def test_an_announcement_is_decoded():
     word = decode_announcement("i-1", json.dumps(WORD).encode())
     assert (word.slots, word.warm_in_s, word.order) == (9, 2.5, (1000, 4))
