Tell a node that is behind what differs from the document that it holds

Successive documents differ in a few routes. A node now names the revision that it holds and is told the pieces that differ, with a checksum, where the other end still has that document; else the whole one.

--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -41,6 +41,7 @@
     TALLIES = 11
     WANT_MEMBERS = 12
     MEMBERS = 13
+    TABLE_DELTA = 14
 
 
 def set_liveness(link_socket: socket.socket, user_timeout_ms: int) -> None:
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -25,6 +25,7 @@
     tell_revision,
     tell_standbys,
 )
+from agaterelay.mesh.revisions import keep_document
 from agaterelay.mesh.state import (
     drop_member,
     revision_of,
@@ -72,6 +73,7 @@
     catch_up = watch.links.catch_up
     now_s = watch.context.clock.monotonic_s()
     note_held(catch_up, table.revision, now_s)
+    keep_document(watch.links, table)
     known = catch_up.seen >= table.revision
     watch.context.record(
         EventKind.REVISION_ACTIVATED,
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -41,6 +41,18 @@
     dialer: asyncio.Task[None] | None = None
 
 
+@attrs.define
+class Documents:
+    """The documents that this node held lately, and how it hands out the newest.
+
+    ``sources`` holds them by revision, oldest first; ``prepared`` the frames made for
+    the newest, by the revision that the asking node holds.
+    """
+
+    sources: dict[int, bytes] = attrs.field(factory=dict)
+    prepared: dict[int, list[Any]] = attrs.field(factory=dict)
+
+
 @attrs.define
 class Links:
     """All links of a node, and the calls that others run through it.
@@ -62,8 +74,7 @@
     own_load: TargetLoad = attrs.field(factory=TargetLoad)
     server: asyncio.Server | None = None
     catch_up: CatchUp[FrameConnection] = attrs.field(factory=CatchUp)
-    # The document in force as it is sent to others, and its revision.
-    packed_table: tuple[int, bytes] = (0, b"")
+    documents: Documents = attrs.field(factory=Documents)
     asked_members_s: float = -1e9
     unequal_s: float | None = None
     unequal: dict[FrameConnection, tuple[tuple[int, ...], int]] = attrs.field(
