Let hosts with the widest links watch the store for their zone

A reader takes in the operator's whole document for each revision, several times a second in quick changes; at 200 kB each that is more than a link of 10 Mbit/s carries, and calls and their cancels wait behind it. A host's entry now tells what its link carries, as the platform's settings say, and readers are chosen by that first, by rendezvous among equals.

--- a/agaterelay/core/deployment.py
+++ b/agaterelay/core/deployment.py
@@ -33,7 +33,8 @@
     ``link_address`` is where other nodes reach this one, ``calls_address`` where the
     callers and the upstream of this host send their calls, ``upstream_address`` where
     the upstream listens. ``first_start`` is set only when the whole system starts for
-    the first time, so that nothing can have been confirmed before.
+    the first time, so that nothing can have been confirmed before. ``link_mbps`` is
+    what the host's network link carries, 0 where the platform does not say.
     """
 
     name: str
@@ -49,3 +50,4 @@
     bounds: Bounds = attrs.field(factory=Bounds)
     heartbeat_s: float = 1.5
     first_start: bool = False
+    link_mbps: int = 0
--- a/agaterelay/core/membership.py
+++ b/agaterelay/core/membership.py
@@ -50,7 +50,8 @@
     """One host's entry; ``host`` is the node's address for peers.
 
     A host that has not joined yet has incarnation 0 and counts nowhere. ``age_s`` is
-    for how long a dead or left host has been so, as far as is known.
+    for how long a dead or left host has been so, as far as is known. ``link_mbps`` is
+    what the host's network link carries, 0 where it is not known.
     """
 
     host: str
@@ -63,6 +64,7 @@
     operators_address: str = ""
     upstreams: tuple[UpstreamInfo, ...] = ()
     age_s: int = attrs.field(default=0, eq=False)
+    link_mbps: int = 0
 
     @property
     def pair(self) -> tuple[int, int]:
--- a/agaterelay/core/neighbours.py
+++ b/agaterelay/core/neighbours.py
@@ -24,16 +24,20 @@
 OTHER_HOSTS = 3
 
 
-def readers_of(hosts: Iterable[str]) -> tuple[str, ...]:
+def readers_of(members: Iterable[Member]) -> tuple[str, ...]:
     """Return the hosts of an availability zone that watch the store for it.
 
+    In quick changes readers take in whole documents several times a second and hand
+    them on, so that those with the widest links come first.
+
     Args:
-        hosts: The hosts of the zone that can be reached.
+        members: The entries of the hosts of the zone that can be reached.
     """
-    hosts = list(hosts)
-    if len(hosts) <= MAX_WATCHERS:
-        return tuple(hosts)
-    return tuple(rank(hosts, "reader")[:READERS])
+    link_mbps = {member.host: member.link_mbps for member in members}
+    if len(link_mbps) <= MAX_WATCHERS:
+        return tuple(link_mbps)
+    ranked = rank(list(link_mbps), "reader")
+    return tuple(sorted(ranked, key=lambda host: -link_mbps[host])[:READERS])
 
 
 def wanted_hosts(own: Member, members: Iterable[Member]) -> set[str]:
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -81,6 +81,7 @@
         zone=deployment.zone,
         incarnation=incarnation,
         sequence=0,
+        link_mbps=deployment.link_mbps,
     )
 
 
--- a/agaterelay/mesh/readers.py
+++ b/agaterelay/mesh/readers.py
@@ -80,13 +80,13 @@
         tell_standbys(watch, [], [])
 
 
-def _reachable_by_zone(watch: Watch) -> dict[str, list[str]]:
+def _reachable_by_zone(watch: Watch) -> dict[str, list[Member]]:
     links = watch.links.links
-    reachable: dict[str, list[str]] = {}
+    reachable: dict[str, list[Member]] = {}
     for member in all_members(watch.state):
         linked = member.host not in links or links[member.host].usable
         if member.usable and linked:
-            reachable.setdefault(member.zone, []).append(member.host)
+            reachable.setdefault(member.zone, []).append(member)
     return reachable
 
 
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -102,6 +102,7 @@
         member.sequence,
         int(member.state),
         [list(attrs.astuple(upstream)) for upstream in member.upstreams],
+        member.link_mbps,
     ]
 
 
@@ -112,7 +113,7 @@
         ValueError: It is none.
     """
     try:
-        host, zone, incarnation, sequence, state, upstreams = plain
+        host, zone, incarnation, sequence, state, upstreams, *rest = plain
         return Member(
             host=str(host),
             zone=str(zone),
@@ -120,6 +121,7 @@
             sequence=int(sequence),
             state=MemberState(state),
             upstreams=tuple(UpstreamInfo(*item) for item in upstreams),
+            link_mbps=int(rest[0]) if rest else 0,
         )
     except TypeError as error:
         raise ValueError(f"not a host's entry: {error}") from error
--- a/agaterelay/platform/settings.py
+++ b/agaterelay/platform/settings.py
@@ -119,5 +119,6 @@
         bounds=bounds,
         heartbeat_s=take("heartbeat", parse_seconds, 1.5),
         first_start=take("bootstrap", _flag, False),
+        link_mbps=int(take("limits.linkMbps", _number, 0.0) or 0),
     )
     return (None if findings else deployment), tuple(findings)
--- a/tests/core/test_neighbours.py
+++ b/tests/core/test_neighbours.py
@@ -5,8 +5,11 @@
 from agaterelay.core.membership import Member, UpstreamInfo
 from agaterelay.core.neighbours import (
     FAR_UPSTREAMS,
+    MAX_WATCHERS,
     NEAR_UPSTREAMS,
     OTHER_HOSTS,
+    READERS,
+    readers_of,
     wanted_hosts,
 )
 
@@ -57,3 +60,19 @@
     before = wanted_hosts(own, members)
     after = wanted_hosts(own, [item for item in members if item is not gone])
     assert len(before - after - {gone.host}) <= 1
+
+
+def test_hosts_with_the_widest_links_watch_for_their_zone():
+    narrow = [Member(f"n{number}", "a", 1, 1, link_mbps=10) for number in range(20)]
+    wide = [Member(f"w{number}", "a", 1, 1, link_mbps=200) for number in range(3)]
+    readers = readers_of([*narrow, *wide])
+    assert len(readers) == READERS
+    assert set(readers) < {member.host for member in wide}
+    # With one of them gone, the third takes its place; the other one stays.
+    rest = [member for member in (*narrow, *wide) if member.host != readers[0]]
+    assert set(readers_of(rest)) == {member.host for member in wide} - {readers[0]}
+
+
+def test_in_a_small_zone_every_host_watches():
+    members = [Member(f"n{number}", "a", 1, 1) for number in range(MAX_WATCHERS)]
+    assert set(readers_of(members)) == {member.host for member in members}
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -54,6 +54,9 @@
     assert deployment.bounds.drain_s == 2.0
     assert deployment.bounds.retry_slack == 62
     assert deployment.first_start
+    assert deployment.link_mbps == 0
+    wide = {**SETTINGS, "limits": {"linkMbps": 200.0}}
+    assert parse_deployment(json.dumps(wide), "boot.json")[0].link_mbps == 200
 
 
 def test_all_findings_come_together():
