Give up a call on a silent link only where it can be made again

The entry now tells which try is the last; it waits for its answer like a call that must not be repeated.

--- a/agaterelay/core/call.py
+++ b/agaterelay/core/call.py
@@ -14,7 +14,8 @@
     ``deadline_s`` is on the steady clock of the node that holds the call; between
     nodes only the time that is left travels. ``target_s`` is until when an answer is
     of full use to the caller. ``repeat`` tells that another try of it has
-    already reached an upstream.
+    already reached an upstream, ``last_try`` that none would follow if this one failed;
+    the latter matters to the entry alone.
     """
 
     call_id: str
@@ -32,3 +33,4 @@
     deadline_s: float
     target_s: float
     repeat: bool = False
+    last_try: bool = False
--- a/agaterelay/mesh/entry.py
+++ b/agaterelay/mesh/entry.py
@@ -193,6 +193,9 @@
         deadline_s=journey.deadline_s,
         target_s=journey.target_s,
         repeat=journey.arrivals > 0,
+        last_try=entry.ending
+        or journey.placements >= MAX_PLACEMENTS
+        or journey.arrivals + 1 >= route.max_attempts,
     )
     now_s = entry.context.clock.monotonic_s()
     load = load_of(entry.links, member.host)
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -23,8 +23,9 @@
 class Link:
     """The connection that this node dialled to another.
 
-    ``repeatable`` are the pending calls that may be given up while their outcome is
-    not known, since they can be sent to another upstream.
+    ``repeatable`` are the pending calls that are given up where the link falls silent,
+    since they can be sent to another upstream. Any other call waits for its answer: the
+    upstream may well be at work.
     """
 
     host: str
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -285,7 +285,7 @@
     ):
         raise LinkDownError(host)
     link.pending[number] = future
-    if call.idempotent:
+    if call.idempotent and not call.last_try:
         link.repeatable.add(number)
     load = link.load
     load.own += 1
