Let only nodes on which others rely ask the store in short waits

A zone of one or two reachable hosts counted as one with readers for others, although all of it watches; its nodes would have asked the store twice a second for nothing. Whether a zone has hosts that rely on readers is now noted by itself.

--- a/agaterelay/core/delta.py
+++ b/agaterelay/core/delta.py
@@ -24,10 +24,10 @@
 
 def diff(base: bytes, target: bytes) -> tuple[list[Step], int]:
     """Return the steps that make a document from an earlier one, and its checksum."""
+    base_pieces = base.split(SEPARATOR)
     first_at: dict[bytes, int] = {}
-    for index, piece in enumerate(base.split(SEPARATOR)):
+    for index, piece in enumerate(base_pieces):
         first_at.setdefault(piece, index)
-    base_pieces = base.split(SEPARATOR)
     steps: list[Step] = []
     fresh: list[bytes] = []
     run_first = run_count = 0
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -114,10 +114,12 @@
         request.headers,
         b"" if isinstance(body, int) else body,
     )
-    if node.closing or isinstance(body, int):
+    if isinstance(body, int):
         return _refuse(node, wanted.call_id, body)
+    if node.closing:
+        return _refuse(node, wanted.call_id, "the node is stopping")
     if has_left(request):
-        return _refuse(node, wanted.call_id, body, "the caller has left")
+        return _refuse(node, wanted.call_id, "the caller has left")
     outcome = await serve(node.entry, wanted)
     response = response_of(outcome)
     if node.state.stopping or _should_close(node, outcome):
@@ -125,21 +127,18 @@
     return response
 
 
-def _refuse(
-    node: Node, call_id: str, body: bytes | int, why: str = "the node is stopping"
-) -> web.Response:
+def _refuse(node: Node, call_id: str, why: int | str) -> web.Response:
     """Refuse a request before its route is sought, and end its connection.
 
     Args:
         node: The node.
         call_id: The request's id, as its caller gave it.
-        body: The status that says what is wrong with the request, or its body where
-            nothing is.
-        why: The reason where nothing is wrong with the request.
+        why: The status that says what is wrong with the request, or the reason why a
+            sound one is not run.
     """
-    if isinstance(body, int):
-        reason = HTTPStatus(body).phrase
-        response = web.Response(status=body, text=f"{reason}\n")
+    if isinstance(why, int):
+        reason = HTTPStatus(why).phrase
+        response = web.Response(status=why, text=f"{reason}\n")
     else:
         reason = why
         response = response_of(NotRun(reason, CLOSING_RETRY_S))
--- a/agaterelay/mesh/readers.py
+++ b/agaterelay/mesh/readers.py
@@ -30,7 +30,7 @@
     removed: Iterable[tuple[str, int, int]],
 ) -> None:
     """Tell the zone what was read in the store, unless all of it watches itself."""
-    if len(watch.state.readers) <= READERS:
+    if watch.state.standbys:
         tell_zone(watch.links, members, removed)
 
 
@@ -47,8 +47,8 @@
 
 def covers_others(watch: Watch) -> bool:
     """Return whether other nodes of the zone rely on this one's feeds."""
-    readers = watch.state.readers
-    return len(readers) <= READERS and watch.state.own.host in readers
+    state = watch.state
+    return state.standbys and state.own.host in state.readers
 
 
 def feed_wait_s(watch: Watch, table: str) -> float:
@@ -64,8 +64,11 @@
     hosts = reachable.pop(state.own.zone, [])
     readers = readers_of(hosts)
     far_readers = tuple(
-        host for zone in sorted(reachable) for host in readers_of(reachable[zone])
-    )[: READERS * len(reachable)]
+        host
+        for zone in sorted(reachable)
+        for host in readers_of(reachable[zone])[:READERS]
+    )
+    state.standbys = len(readers) < len(hosts)
     changed = (readers, far_readers) != (state.readers, state.far_readers)
     if changed:
         state.readers, state.far_readers = readers, far_readers
@@ -105,7 +108,7 @@
     watch.context.record(
         EventKind.WATCH_CHANGED,
         watching=watch.state.watching,
-        readers=watch.state.readers if len(watch.state.readers) <= READERS else "all",
+        readers=watch.state.readers if watch.state.standbys else "all",
         reachable=reachable,
         lost=sorted(watch.lost),
         answered_ms={
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -34,6 +34,8 @@
 class MeshState:
     """The published state of a deployed node.
 
+    ``readers`` are the hosts of the own zone that watch the store, ``far_readers`` some of
+    other zones; ``standbys`` is whether the own zone has hosts that rely on readers.
     ``versions`` caches which version serves a service; it is dropped whenever what it
     was worked out from changes.
     """
@@ -50,6 +52,7 @@
     watching: bool = False  # written by the feeds
     readers: tuple[str, ...] = ()  # written by the feeds
     far_readers: tuple[str, ...] = ()  # written by the feeds
+    standbys: bool = False  # written by the feeds
     buried: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     own_row_lost: bool = False  # written by the links, cleared by own_row
     stopping: bool = False  # written by the node
