Do not rely on a reader whose link is lost or silent

Looked for by the incident's second class, a claim that outlives what it rests on: a reader's word that it watches held for 2.5 s after it was given, also when its link was lost or silent since, and a configuration has 2.5 s to be in force. Both cases of the test fail before.

--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -14,6 +14,9 @@
 from agaterelay.mesh.gate import Gate
 from agaterelay.mesh.state import Context, MeshState
 
+# On the steady clock, before anything happened.
+NEVER_S = -1e9
+
 
 class LinkDownError(Exception):
     """There is no connection to the host; nothing was sent."""
@@ -36,7 +39,7 @@
     pinged_s: float | None = None
     usable: bool = False
     # When the other last said that it watches the store.
-    watching_s: float = -1e9
+    watching_s: float = NEVER_S
     lost_s: float = 0.0
     load: TargetLoad = attrs.field(factory=TargetLoad)
     dialer: asyncio.Task[None] | None = None
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -23,7 +23,7 @@
 from agaterelay.core.trial import RouteTallies
 from agaterelay.events import EventKind
 from agaterelay.mesh.gate import Ran, report_load, run_call, tallies_since
-from agaterelay.mesh.link import Link, LinkDownError, Links
+from agaterelay.mesh.link import NEVER_S, Link, LinkDownError, Links
 from agaterelay.mesh.news import (
     greet,
     note_watching,
@@ -147,7 +147,7 @@
 def _lose_link(links: Links, link: Link, reason: str) -> None:
     was_up = link.usable or bool(link.pending)
     link.connection = None
-    link.usable = False
+    _stop_using(link)
     link.lost_s = links.context.clock.monotonic_s()
     link.load = TargetLoad()
     pending, link.pending = link.pending, {}
@@ -160,6 +160,12 @@
             future.set_exception(ConnectionError(reason))
 
 
+def _stop_using(link: Link) -> None:
+    """Send nothing new on a link, and no longer rely on what its host said it does."""
+    link.usable = False
+    link.watching_s = NEVER_S
+
+
 def _take_frame(links: Links, connection: FrameConnection, frame: list[Any]) -> None:
     """Serve a frame that another node sent on a link that it dialled."""
     kind = frame[0]
@@ -350,7 +356,7 @@
             link.connection.send([Frame.PING, revision_of(links.state)])
         return
     if link.usable and now_s - link.pinged_s >= SILENCE_S:
-        link.usable = False
+        _stop_using(link)
         links.context.record(
             EventKind.LINK_LOST,
             peer=link.host,
--- a/agaterelay/mesh/news.py
+++ b/agaterelay/mesh/news.py
@@ -18,7 +18,7 @@
 from agaterelay.core.membership import Member
 from agaterelay.core.trial import MoveRecord, Order
 from agaterelay.events import EventKind
-from agaterelay.mesh.link import Links
+from agaterelay.mesh.link import NEVER_S, Links
 from agaterelay.mesh.revisions import note_revision
 from agaterelay.mesh.state import (
     Context,
@@ -192,4 +192,4 @@
     link = links.links.get(host)
     if link is not None:
         now_s = links.context.clock.monotonic_s()
-        link.watching_s = now_s if watching else -1e9
+        link.watching_s = now_s if watching else NEVER_S
--- a/tests/mesh/test_readers.py
+++ b/tests/mesh/test_readers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from agaterelay.mesh.readers import must_watch
 from agaterelay.ports import PlatformError
 from standins.instance import announce
 from standins.store import put_row
@@ -83,6 +84,26 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("loss", ["killed", "silent"])
+def test_a_reader_that_is_lost_is_not_relied_on_any_longer(loss):
+    async def play():
+        async with running_fleet(("desk", "desk", "panel")) as fleet:
+            await settle(fleet)
+            reader = watching(fleet)[0]
+            standbys = [host.node for host in fleet.hosts if host is not reader]
+            assert not any(must_watch(node.watch) for node in standbys)
+            if loss == "killed":
+                await kill_node(reader)
+            for node in standbys:
+                link = node.links.links[reader.deployment.link_address]
+                if loss == "silent":
+                    link.heard_s = link.pinged_s = link.heard_s - 60
+                await until(lambda link=link: not link.usable, 1.0)
+                assert must_watch(node.watch)
+
+    asyncio.run(play())
+
+
 async def no_answer(method, path, timeout_s, **options):
     """Do as a store that takes a call and never answers it."""
     await asyncio.sleep(timeout_s)
