Log the rate limit that an upstream names in its answers

Nothing told the hypotheses of the incident apart: no line said what an upstream says about itself in an answer. Events 315 and 316, and the limit in the line of the health check. No decision is changed.

--- a/agaterelay/adapters/log.py
+++ b/agaterelay/adapters/log.py
@@ -21,6 +21,8 @@
 # Rate limits of events that single calls cause. A call may need several attempts, each of
 # which is logged to explain its outcome, so CALL_TRY_ENDED has a higher limit.
 MAX_EVENTS_PER_S = {
+    EventKind.UPSTREAM_LIMITED: 2,
+    EventKind.UPSTREAM_HEADER_INVALID: 2,
     EventKind.CALL_NOT_RUN: 20,
     EventKind.CALL_UNKNOWN: 20,
     EventKind.CALL_FAILED: 20,
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -66,6 +66,7 @@
 WIRE = WireFormat(
     headers=headers.upstream_headers,
     outcome=headers.decode_upstream_outcome,
+    signals=headers.decode_upstream_signals,
     id_header=headers.ATTEMPT_ID_KEY,
     instance_header=headers.INSTANCE_ID_KEY,
 )
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -35,6 +35,8 @@
     UPSTREAM_WITHDRAWN = (311, "An upstream withdrew or its heartbeat timed out.")
     UPSTREAM_DRAINING = (312, "An upstream accepts no new calls.")
     UPSTREAM_PROBED = (314, "An upstream was probed for whether its instance stays.")
+    UPSTREAM_LIMITED = (315, "An upstream named, changed or lifted its rate limit.")
+    UPSTREAM_HEADER_INVALID = (316, "An upstream's answer has an unreadable header.")
     DRAIN_ASKED = (313, "An operator started or ended a drain.")
     CALL_NOT_RUN = (400, "A call was rejected before any of it ran.")
     CALL_UNKNOWN = (401, "It is unknown whether a call ran.")
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -29,6 +29,7 @@
 from agaterelay.core.evidence import Tally, add_calls
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
+from agaterelay.core.signals import UpstreamSignals
 from agaterelay.core.slot_queue import (
     Queued,
     Refused,
@@ -89,12 +90,14 @@
         headers: Returns the headers of a call, given the remaining time in milliseconds.
         outcome: Returns the outcome, given an answer's status, headers and body, and the
             id of the call.
+        signals: Returns what an answer's headers say about the upstream.
         id_header: The lower-case name of the header that carries the call's id.
         instance_header: The lower-case name of the header that names the instance.
     """
 
     headers: Callable[[Call, int], RawHeaders]
     outcome: Callable[[int, RawHeaders, bytes, str], Outcome]
+    signals: Callable[[RawHeaders], UpstreamSignals]
     id_header: bytes
     instance_header: bytes
 
@@ -110,6 +113,7 @@
         tallies: Counts and latencies by route, one item for each second with calls,
             newest last.
         in_flight: The number of calls that are queued or running.
+        named_limit_per_s: The rate limit that the last answer named, None if none.
         call_count: The number of calls that the upstream has run; selects the calls
             that are logged.
     """
@@ -124,6 +128,7 @@
         factory=lambda: deque(maxlen=TALLY_WINDOW_S)
     )
     in_flight: int = 0
+    named_limit_per_s: float | None = None
     call_count: int = 0
     stopping: bool = False
     rng: random.Random = attrs.field(factory=random.Random)
@@ -315,6 +320,8 @@
         outcome = inbound.wire.outcome(
             answer.status, answer.headers, answer.body, call.call_id
         )
+        if not isinstance(outcome, Unknown):
+            _record_signals(inbound, call, inbound.wire.signals(answer.headers))
     now_s = clock.monotonic_s()
     _record_call(
         inbound, call, outcome, started_s - arrived_s, now_s - started_s, now_s
@@ -323,6 +330,28 @@
     return outcome, True, round((now_s - started_s) * 1000, 1) if succeeded else 0.0
 
 
+def _record_signals(inbound: Inbound, call: Call, signals: UpstreamSignals) -> None:
+    """Log what an answer says about the upstream, where that is news."""
+    if signals.invalid_limit:
+        inbound.context.record(
+            EventKind.UPSTREAM_HEADER_INVALID,
+            request_id=call.call_id,
+            instance=call.instance,
+            rate_limit=signals.invalid_limit,
+        )
+    if signals.rate_limit_per_s == inbound.named_limit_per_s:
+        return
+    inbound.context.record(
+        EventKind.UPSTREAM_LIMITED,
+        request_id=call.call_id,
+        instance=call.instance,
+        rate_limit_per_s=signals.rate_limit_per_s,
+        before_per_s=inbound.named_limit_per_s,
+        leaving=signals.leaving,
+    )
+    inbound.named_limit_per_s = signals.rate_limit_per_s
+
+
 async def _send_call(
     inbound: Inbound, connection: PooledConnection, call: Call, remaining_s: float
 ) -> ReceivedResponse:
@@ -430,5 +459,6 @@
         EventKind.UPSTREAM_PROBED,
         instance=instance,
         outcome=f"status {answer.status} of {answering_instance or 'an unnamed instance'}",
+        rate_limit_per_s=inbound.wire.signals(answer.headers).rate_limit_per_s,
     )
     return answer.status == 200 and answering_instance == instance
--- a/agaterelay/platform/headers.py
+++ b/agaterelay/platform/headers.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 
 from agaterelay.core.call import Call, RawHeaders
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
+from agaterelay.core.signals import NO_SIGNALS, UpstreamSignals
 
 ATTEMPT_ID = "X-Attempt-Id"
 DEADLINE = "X-Request-Deadline"
@@ -16,7 +18,11 @@
 ATTEMPT_ID_KEY = b"x-attempt-id"
 DEADLINE_KEY = b"x-request-deadline"
 INSTANCE_ID_KEY = b"x-instance-id"
+RATE_LIMIT_KEY = b"server-limit"
+LEAVING_KEY = b"server-leaving"
 MISDIRECTED = 421
+_MAX_NUMBER_LENGTH = 32
+_DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]*)?|\.[0-9]+")
 # Hop-by-hop headers, and headers that the node sets itself.
 _NOT_FORWARDED = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"te",
@@ -88,3 +94,24 @@
         for name, value in forwarded_headers(headers)
     )
     return Answered(status, forwarded, body)
+
+
+def decode_upstream_signals(headers: RawHeaders) -> UpstreamSignals:
+    """Return what the headers of an upstream's answer say about the upstream."""
+    limits = [
+        value.strip() for name, value in headers if name.lower() == RATE_LIMIT_KEY
+    ]
+    leaving = any(
+        value.strip() == b"1" for name, value in headers if name.lower() == LEAVING_KEY
+    )
+    if not limits:
+        return UpstreamSignals(leaving=True) if leaving else NO_SIGNALS
+    text = limits[0]
+    if (
+        len(limits) > 1
+        or len(text) > _MAX_NUMBER_LENGTH
+        or not _DECIMAL_NUMBER.fullmatch(text)
+    ):
+        invalid = b", ".join(limits)[:_MAX_NUMBER_LENGTH].decode("latin-1")
+        return UpstreamSignals(invalid_limit=invalid or "(empty)", leaving=leaving)
+    return UpstreamSignals(rate_limit_per_s=float(text), leaving=leaving)
