--- a/standins/instance.py
+++ b/standins/instance.py
@@ -10,6 +10,7 @@
 import hashlib
 import time
 from collections import Counter
+from collections.abc import Iterable
 from typing import Any
 
 import aiohttp
@@ -28,6 +29,8 @@
     (the answer is not HTTP), ``no_seal`` (the answer lacks the seal header), ``silent``
     (never answers).
 
+    ``answer_headers`` are added to every answer, each with its own value, as they are.
+
     ``ran`` counts how often each call id ran. ``heads`` and ``bodies`` are the requests of
     the calls that ran; the request line is under the empty name.
     """
@@ -41,6 +44,7 @@
     service_time_s: float = 0.0
     born_ms: int = 1_000
     fault: str = ""
+    answer_headers: list[tuple[str, str]] = attrs.field(factory=list)
     ran: Counter[str] = attrs.field(factory=Counter)
     # For each call: its start on the monotonic clock, in seconds, the ``born_ms`` of the
     # instance at that time, and the call id.
@@ -160,13 +164,16 @@
     call_id = headers.get("X-Attempt-Id", "")
     if line.startswith("GET /healthz"):
         status = 503 if instance.leaving else 200
-        _write(writer, status, {"X-Instance-Id": instance.instance}, b"")
+        own_headers = {"X-Instance-Id": instance.instance}
+        _write(writer, status, own_headers, b"", instance.answer_headers)
         return
     if headers.get("X-Expect-Instance", instance.instance) != instance.instance:
-        _write(writer, 421, {"X-Instance-Id": instance.instance}, b"")
+        own_headers = {"X-Instance-Id": instance.instance, "X-Attempt-Id": call_id}
+        _write(writer, 421, own_headers, b"")
         return
     if instance.running >= instance.slots:
-        _write(writer, 503, {"X-Not-Executed": "1", "X-Attempt-Id": call_id}, b"")
+        own_headers = {"X-Not-Executed": "1", "X-Attempt-Id": call_id}
+        _write(writer, 503, own_headers, b"", instance.answer_headers)
         return
     instance.ran[call_id] += 1
     instance.started_calls.append((time.monotonic(), instance.born_ms, call_id))
@@ -204,7 +211,7 @@
     body = expected_body(call_id)
     fault = instance.fault
     if fault == "error":
-        _write(writer, 500, headers, b"failed")
+        _write(writer, 500, headers, b"failed", instance.answer_headers)
     elif fault == "reset":
         writer.transport.abort()
         raise ConnectionResetError
@@ -217,7 +224,7 @@
     elif fault == "no_seal":
         _write(writer, 200, {"X-Attempt-Id": call_id}, body)
     else:
-        _write(writer, 200, headers, body)
+        _write(writer, 200, headers, body, instance.answer_headers)
         if fault == "extra":
             _write(writer, 200, headers, b"again")
         elif fault == "late_extra":
@@ -226,15 +233,22 @@
             )
 
 
-def _head(status: int, headers: dict[str, str]) -> bytes:
+def _head(
+    status: int, headers: dict[str, str], more: Iterable[tuple[str, str]] = ()
+) -> bytes:
     lines = [f"HTTP/1.1 {status} X"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines += [f"{name}: {value}" for name, value in (*headers.items(), *more)]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
 def _write(
-    writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes
+    writer: asyncio.StreamWriter,
+    status: int,
+    headers: dict[str, str],
+    body: bytes,
+    more: Iterable[tuple[str, str]] = (),
 ) -> None:
     if writer.is_closing():
         return
-    writer.write(_head(status, {**headers, "Content-Length": str(len(body))}) + body)
+    headers = {**headers, "Content-Length": str(len(body))}
+    writer.write(_head(status, headers, more) + body)
