Take an upstream's word in an answer that it leaves

An upstream that says so in its answers got further requests until it announced it, and after a restart of its node again from hosts that had passed such an answer on. Cause: as with the limit, answers were not read for it.

It is ordered like draining, by the start that the answered call was sent to: the inbound proxy stops at once and publishes it; the outbound proxy that passes the answer on keeps the start, so nothing that its node forgets in a restart brings it back.

--- a/agaterelay/core/announcement.py
+++ b/agaterelay/core/announcement.py
@@ -128,6 +128,25 @@
     return _change_state(record, UpstreamState.GONE)
 
 
+def apply_leaving_answer(record: UpstreamRecord, start: tuple[str, int]) -> bool:
+    """Apply an upstream's statement in an answer that it leaves.
+
+    Args:
+        record: The record of the upstream; changed in place.
+        start: The instance and the start to which the answered call was sent.
+
+    Returns:
+        Whether that changed the state of the upstream.
+    """
+    record_departed(record, start)
+    current = record.current
+    if current is None or (current.instance, current.born_ms) != start:
+        return False
+    if record.state is UpstreamState.GONE:
+        return False
+    return _change_state(record, UpstreamState.DRAINING)
+
+
 def record_departed(record: UpstreamRecord, start: tuple[str, int]) -> None:
     """Record that a start gets no new calls any more."""
     record.departed.pop(start, None)
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -34,7 +34,11 @@
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
 from agaterelay.events import EventKind
-from agaterelay.mesh.announcements import handle_announcement, handle_withdrawal
+from agaterelay.mesh.announcements import (
+    apply_leaving,
+    handle_announcement,
+    handle_withdrawal,
+)
 from agaterelay.mesh.callers import limits_in_force
 from agaterelay.mesh.feeds import apply_config
 from agaterelay.mesh.inbound import Inbound, WireFormat
@@ -102,6 +106,7 @@
 
     links = Links(context, state, inbound, apply_document)
     watch = StoreWatch(context, state, links, make_operator_format())
+    inbound.on_leaving = partial(apply_leaving, watch, inbound)
     outbound = Outbound(context, state, links, new_retry_budget(deployment.bounds))
     meters = Meters()
     outbound.observe_outcome = meters.count_request
--- a/agaterelay/mesh/announcements.py
+++ b/agaterelay/mesh/announcements.py
@@ -91,15 +91,41 @@
         await _publish_state_change(watch, inbound, previous_state)
 
 
+def apply_leaving(
+    watch: StoreWatch, inbound: Inbound, previous_state: UpstreamState
+) -> None:
+    """Apply and publish that the upstream leaves, as it has said in an answer.
+
+    The row in the store is written by its own task, as no confirmation waits for it.
+    """
+    _apply_state_change(watch, inbound, previous_state, source="answer")
+
+
 async def _publish_state_change(
     watch: StoreWatch, inbound: Inbound, previous_state: UpstreamState
 ) -> None:
+    line = inbound.line
+    _apply_state_change(watch, inbound, previous_state, source="announcement")
+    if line.state is previous_state and line.state is not UpstreamState.READY:
+        return
+    if line.state in (UpstreamState.DRAINING, UpstreamState.GONE):
+        try:
+            async with asyncio.timeout(LEAVE_WRITE_TIMEOUT_S):
+                await try_write_own_row(watch)
+        except TimeoutError:
+            watch.context.record(
+                EventKind.PLATFORM_LOST, table="own row", reason="leave not written"
+            )
+
+
+def _apply_state_change(
+    watch: StoreWatch, inbound: Inbound, previous_state: UpstreamState, source: str
+) -> None:
+    """Apply the upstream's state to the inbound proxy, publish and log it."""
     line = inbound.line
     announcement = line.current
     apply_upstream_state(inbound)
     _publish_upstream(watch, inbound)
-    if line.state is previous_state and line.state is not UpstreamState.READY:
-        return
     kinds = {
         UpstreamState.READY: EventKind.UPSTREAM_ANNOUNCED,
         UpstreamState.DRAINING: EventKind.UPSTREAM_DRAINING,
@@ -112,17 +138,10 @@
             born_ms=announcement.born_ms if announcement else 0,
             sequence=announcement.sequence if announcement else 0,
             version=announcement.version if announcement else "",
+            source=source,
             before=previous_state.value,
             calls_in_flight=inbound.queue.in_use,
         )
-    if line.state in (UpstreamState.DRAINING, UpstreamState.GONE):
-        try:
-            async with asyncio.timeout(LEAVE_WRITE_TIMEOUT_S):
-                await try_write_own_row(watch)
-        except TimeoutError:
-            watch.context.record(
-                EventKind.PLATFORM_LOST, table="own row", reason="leave not written"
-            )
 
 
 def _publish_upstream(watch: StoreWatch, inbound: Inbound) -> None:
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -24,7 +24,11 @@
     ReceivedResponse,
     render_head,
 )
-from agaterelay.core.announcement import UpstreamRecord, UpstreamState
+from agaterelay.core.announcement import (
+    UpstreamRecord,
+    UpstreamState,
+    apply_leaving_answer,
+)
 from agaterelay.core.call import Call, RawHeaders
 from agaterelay.core.evidence import Tally, add_calls
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
@@ -83,12 +87,24 @@
         reached_upstream: Whether the call may have reached the upstream.
         report: The load of the upstream when the call ended.
         service_ms: The service time in milliseconds if the call succeeded, else 0.
+        leaving: Whether the answer says that the upstream is about to leave.
     """
 
     outcome: Outcome
     reached_upstream: bool
     report: LoadReport
     service_ms: float = 0.0
+    leaving: bool = False
+
+
+@attrs.frozen
+class Run:
+    """How a call in a slot ended; its fields are those of ``CallResult``."""
+
+    outcome: Outcome
+    was_sent: bool = False
+    service_ms: float = 0.0
+    leaving: bool = False
 
 
 @attrs.frozen
@@ -122,6 +138,8 @@
         tallies: Counts and latencies by route, one item for each second with calls,
             newest last.
         in_flight: The number of calls that are queued or running.
+        on_leaving: Called when an answer has said that the upstream leaves, with the
+            state before.
         grant_timer: Fires when the first waiting call may be sent under the rate limit,
             None if no call waits for that.
         call_count: The number of calls that the upstream has run; selects the calls
@@ -138,6 +156,7 @@
         factory=lambda: deque(maxlen=TALLY_WINDOW_S)
     )
     in_flight: int = 0
+    on_leaving: Callable[[UpstreamState], None] = lambda previous_state: None
     grant_timer: asyncio.TimerHandle | None = None
     call_count: int = 0
     stopping: bool = False
@@ -220,14 +239,19 @@
             return CallResult(refusal, False, report_load(inbound))
         release = release_slot
         try:
-            result = await _run_in_slot(inbound, call, arrived_s)
-            outcome, reached_upstream, service_ms = result
-            if not reached_upstream:
+            run = await _run_in_slot(inbound, call, arrived_s)
+            if not run.was_sent:
                 release = release_unused_slot
         finally:
             release(inbound.queue)
             _grant_next(inbound)
-        return CallResult(outcome, reached_upstream, report_load(inbound), service_ms)
+        return CallResult(
+            outcome=run.outcome,
+            reached_upstream=run.was_sent,
+            report=report_load(inbound),
+            service_ms=run.service_ms,
+            leaving=run.leaving,
+        )
     except asyncio.CancelledError:
         inbound.context.record(
             EventKind.CALL_ABANDONED,
@@ -323,36 +347,30 @@
     return compute_retry_after_s(queue, queue.slots, now_s, inbound.rng)
 
 
-async def _run_in_slot(
-    inbound: Inbound, call: Call, arrived_s: float
-) -> tuple[Outcome, bool, float]:
-    """Run a call that has a slot.
-
-    Returns:
-        The outcome, whether the call was sent, and the service time in milliseconds if
-        the call succeeded, else 0.
-    """
+async def _run_in_slot(inbound: Inbound, call: Call, arrived_s: float) -> Run:
+    """Run a call that has a slot."""
     clock = inbound.context.clock
     # The upstream may have started to drain while the call was queued.
     reason = find_refusal_reason(inbound)
     if reason is not None:
-        return NotRun(reason, DRAINING_RETRY_S), False, 0.0
+        return Run(NotRun(reason, DRAINING_RETRY_S))
     started_s = clock.monotonic_s()
     try:
         connection = await inbound.pool.acquire(started_s)
     except NotSentError as error:
         record_call_end(inbound.queue, True, clock.monotonic_s())
-        return NotRun(f"the upstream accepts no connection: {error}", 0.1), False, 0.0
+        return Run(NotRun(f"the upstream accepts no connection: {error}", 0.1))
     reason = find_refusal_reason(inbound)
     remaining_s = call.deadline_s - clock.monotonic_s()
     if reason is not None or remaining_s <= 0:
         inbound.pool.release(connection, clock.monotonic_s())
-        return NotRun(reason or "its deadline passed", DRAINING_RETRY_S), False, 0.0
+        return Run(NotRun(reason or "its deadline passed", DRAINING_RETRY_S))
     start = current_start(inbound)
+    leaving = False
     try:
         answer = await _send_call(inbound, connection, call, remaining_s)
     except NotSentError as error:
-        return NotRun(f"the connection closed before the call: {error}"), False, 0.0
+        return Run(NotRun(f"the connection closed before the call: {error}"))
     except AnswerLostError as error:
         outcome: Outcome = Unknown(f"the answer was lost: {error}")
     except TimeoutError:
@@ -365,12 +383,14 @@
         if not isinstance(outcome, Unknown):
             signals = inbound.wire.signals(answer.headers)
             _apply_signals(inbound, signals, started_s, start, call.call_id)
+            leaving = signals.leaving
     now_s = clock.monotonic_s()
     _record_call(
         inbound, call, outcome, started_s - arrived_s, now_s - started_s, now_s
     )
     succeeded = isinstance(outcome, Answered) and outcome.status < MIN_FAILURE_STATUS
-    return outcome, True, round((now_s - started_s) * 1000, 1) if succeeded else 0.0
+    service_ms = round((now_s - started_s) * 1000, 1) if succeeded else 0.0
+    return Run(outcome, True, service_ms, leaving)
 
 
 def current_start(inbound: Inbound) -> tuple[str, int] | None:
@@ -395,7 +415,13 @@
         start: The instance and the start that it was sent to.
         request_id: The call's id, for the log.
     """
-    if start is None or start != current_start(inbound):
+    if start is None:
+        return
+    if signals.leaving:
+        previous_state = inbound.line.state
+        if apply_leaving_answer(inbound.line, start):
+            inbound.on_leaving(previous_state)
+    if start != current_start(inbound):
         return
     if signals.invalid_limit:
         inbound.context.record(
@@ -534,6 +560,6 @@
     )
     if answering_instance != instance:
         return False
-    if signals.rate_limit_per_s is not None:
+    if signals.rate_limit_per_s is not None or signals.leaving:
         _apply_signals(inbound, signals, started_s, current_start(inbound), "")
-    return answer.status == 200
+    return answer.status == 200 and not signals.leaving
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -34,7 +34,7 @@
     find_route,
     remaining_target_s,
 )
-from agaterelay.mesh.state import revision_of, versions_of
+from agaterelay.mesh.state import record_leaving_start, revision_of, versions_of
 
 # Inbound proxies tried for one request; further ones cost more than the caller gains.
 MAX_PLACEMENTS = 4
@@ -260,6 +260,16 @@
     finally:
         if timeout is not None:
             outbound.attempt_timeouts.discard(timeout)
+    if result.leaving and record_leaving_start(
+        outbound.state, upstream.instance, upstream.born_ms
+    ):
+        outbound.context.record(
+            EventKind.UPSTREAM_DRAINING,
+            request_id=request.call_id,
+            peer=member.host,
+            instance=upstream.instance,
+            source="answer",
+        )
     if result.service_ms and isinstance(result.outcome, Answered):
         costs = outbound.route_costs[route.name]
         record_answer(costs, load, result.service_ms, len(result.outcome.body))
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -16,6 +16,7 @@
 
 # Covers the hosts that a large fleet replaces in some days.
 MAX_TOMBSTONES = 512
+MAX_LEAVING_STARTS = 512
 
 
 @attrs.define
@@ -38,6 +39,8 @@
     ``readers`` are the hosts of the own zone that watch the store, ``other_zone_readers``
     some of the readers of other zones. ``has_standbys`` is whether the own zone has hosts
     that rely on readers. ``news`` is set when this host's row has to be written.
+    ``leaving_starts`` are the starts of instances that have said in an answer to this
+    node that they leave, which keeps it from using one whose own node has forgotten that.
     ``tombstones`` holds the last incarnation and sequence of each removed host.
     ``versions`` caches which version serves a service, and ``targets`` which hosts serve
     a version; both are cleared whenever members, orders or moves change, as is ``view``,
@@ -58,6 +61,7 @@
     other_zone_readers: tuple[str, ...] = ()  # written by the feeds
     has_standbys: bool = False  # written by the feeds
     tombstones: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    leaving_starts: dict[tuple[str, int], None] = attrs.field(factory=dict)
     own_row_lost: bool = False  # written by the links, cleared by member_rows
     stopping: bool = False  # written by the node
     news: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -111,10 +115,23 @@
             if upstream.service == service
             and upstream.version == version
             and not upstream.draining
+            and (upstream.instance, upstream.born_ms) not in state.leaving_starts
         ]
     return found
 
 
+def record_leaving_start(state: MeshState, instance: str, born_ms: int) -> bool:
+    """Record that an instance has said that it leaves; return whether that is news."""
+    start = (instance, born_ms)
+    if start in state.leaving_starts:
+        return False
+    state.leaving_starts[start] = None
+    while len(state.leaving_starts) > MAX_LEAVING_STARTS:
+        del state.leaving_starts[next(iter(state.leaving_starts))]
+    state.targets.clear()
+    return True
+
+
 def versions_of(state: MeshState, service: str) -> tuple[str, str | None]:
     """Return the version that serves a service, and the version on trial or None."""
     found = state.versions.get(service)
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -74,18 +74,20 @@
         report[:_FIRST_REPORT_FIELDS],
         result.service_ms,
         report[_FIRST_REPORT_FIELDS:],
+        result.leaving,
     ]
 
 
 def decode_result(encoded: list[Any]) -> CallResult:
     """Decode the result of a call."""
     outcome, reached_upstream, report, service_ms, *rest = encoded
-    later_report = rest[0] if rest else ()
+    later_report, leaving = rest[:2] if rest else ((), False)
     return CallResult(
         outcome=_decode_outcome(outcome),
         reached_upstream=reached_upstream,
         report=LoadReport(*report, *later_report),
         service_ms=service_ms,
+        leaving=leaving,
     )
 
 
--- a/tests/mesh/test_upstream_signals.py
+++ b/tests/mesh/test_upstream_signals.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from standins.instance import announce
+from standins.instance import announce, withdraw
 from tests.mesh.fleet import (
     admin_address,
     is_converged,
@@ -152,3 +152,50 @@
             assert run_count(other) >= 40
 
     asyncio.run(scenario())
+
+
+def test_after_a_restart_of_its_node_with_the_store_down_it_gets_none_either():
+    async def scenario():
+        async with running_fleet(("desk", "panel", "desk")) as fleet:
+            leaving, caller, _ = fleet.hosts
+            leaving.instance.answer_headers = [("Server-Leaving", "1")]
+            while not run_count(leaving):
+                await send_request(fleet, caller)
+            before = run_count(leaving)
+            fleet.store.faults.down = True
+            await restart_node(leaving)
+            # An announcement from before is late, and the health check does not tell.
+            leaving.instance.answer_headers = []
+            await announce(leaving.instance, admin_address(leaving))
+            await announce(leaving.instance, admin_address(leaving))
+            node = caller.node
+            await wait_until(
+                lambda: all(link.usable for link in node.links.links.values())
+            )
+            answers = [await send_request(fleet, caller) for _ in range(30)]
+            assert {status for status, _, _ in answers} == {200}
+            assert run_count(leaving) == before
+
+    asyncio.run(scenario())
+
+
+def test_a_later_ready_announcement_of_the_same_start_changes_nothing():
+    async def scenario():
+        async with running_fleet() as fleet:
+            leaving, other = fleet.hosts
+            leaving.instance.answer_headers = [("Server-Leaving", "1")]
+            while not run_count(leaving):
+                await send_many(fleet, 4)
+            await asyncio.sleep(0.05)
+            before = run_count(leaving)
+            leaving.instance.answer_headers = []
+            assert await announce(leaving.instance, admin_address(leaving)) == 200
+            await send_many(fleet, 20)
+            assert run_count(leaving) == before
+            leaving.instance.born_ms += 1
+            await announce(leaving.instance, admin_address(leaving))
+            await withdraw(other.instance, admin_address(other))
+            await asyncio.sleep(0.05)
+            assert set(await send_many(fleet, 20)) == {200}
+
+    asyncio.run(scenario())
