Believe a refusal only if it names the call that waits

A faulty instance that wrote an earlier refusal once more on a kept connection had a request that it was running sent to a second one. Cause: a refusal was accepted before the answer's id was looked at, and an answer without an id ended the call that waits; answers with another id were dropped already. Now an answer without the call's id leaves it unknown whether the call ran, and its connection is closed.

--- a/agaterelay/adapters/http_pool.py
+++ b/agaterelay/adapters/http_pool.py
@@ -271,9 +271,14 @@
         if status < 200 or waiter is None:
             return
         keys = {name.lower(): value for name, value in self._headers}
-        received_id = keys.get(self._id_header)
-        if received_id is not None and received_id != self._call_id:
+        received_ids = {
+            value for name, value in self._headers if name.lower() == self._id_header
+        }
+        if received_ids and received_ids != {self._call_id}:
             return
+        if self._call_id and not received_ids:
+            # It may belong to an earlier call, and the answer to this one may follow.
+            self.reusable = False
         self._waiter = None
         if not self._eof_received and not self._parser.should_keep_alive():
             self.reusable = False
--- a/agaterelay/platform/headers.py
+++ b/agaterelay/platform/headers.py
@@ -77,14 +77,15 @@
     """Return the outcome of a call from the upstream's response.
 
     The outcome is Unknown if the response belongs to another call, is encoded, or is a
-    success without the seal that the upstream itself sets.
+    success without the seal that the upstream itself sets. A refusal of another call says
+    nothing about this one, so it is believed only with this call's id.
     """
     keys = {name.lower(): value for name, value in headers}
+    if keys.get(ATTEMPT_ID_KEY, b"") != call_id.encode():
+        return Unknown("the answer is of another call")
     if NOT_EXECUTED in keys or status == MISDIRECTED:
         reason = "another instance is there" if status == MISDIRECTED else "shed"
         return NotRun(reason)
-    if keys.get(ATTEMPT_ID_KEY) != call_id.encode():
-        return Unknown("the answer is of another call")
     if b"content-encoding" in keys:
         return Unknown("the answer is encoded")
     if 200 <= status < 300 and not keys.get(SEAL):
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -27,7 +27,8 @@
     then resets the connection), ``early_end`` (sends a part of the answer), ``extra``
     (sends a second answer after it), ``late_extra`` (the same, 20 ms later), ``garbage``
     (the answer is not HTTP), ``no_seal`` (the answer lacks the seal header), ``silent``
-    (never answers).
+    (never answers), ``stale_refusal`` (writes a refusal of an earlier call, which names
+    no call, before it runs the call and answers).
 
     ``answer_headers`` are added to every answer, each with its own value, as they are.
 
@@ -175,6 +176,8 @@
         own_headers = {"X-Not-Executed": "1", "X-Attempt-Id": call_id}
         _write(writer, 503, own_headers, b"", instance.answer_headers)
         return
+    if instance.fault == "stale_refusal":
+        _write(writer, 503, {"X-Not-Executed": "1"}, b"")
     instance.ran[call_id] += 1
     instance.started_calls.append((time.monotonic(), instance.born_ms, call_id))
     instance.heads.append({"": line, **headers})
--- a/tests/adapters/test_http_pool.py
+++ b/tests/adapters/test_http_pool.py
@@ -12,6 +12,8 @@
 from agaterelay.adapters.http_pool import (
     AnswerLostError,
     HttpPool,
+    PooledConnection,
+    ResponseMemory,
     render_head,
 )
 from tests.mesh.fleet import free_address
@@ -52,6 +54,24 @@
 MAX_BUFFERED_BYTES = 8 << 20
 
 
+class FakeTransport:
+    """Accepts what is written."""
+
+    closed = False
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.closed = True
+
+    def is_closing(self):
+        return self.closed
+
+    def get_write_buffer_size(self):
+        return 0
+
+
 @contextlib.asynccontextmanager
 async def upstream(first, rest):
     """Serve a first part and then repeat another until the client closes."""
@@ -118,3 +138,49 @@
                     await lost
 
     asyncio.run(scenario())
+
+
+WHOLE_RESPONSES = (
+    HEAD + b"Content-Length: 4\r\n\r\nbody",
+    HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    HEAD + b"X-Seal: s\r\n\r\nbody",
+)
+
+
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+@pytest.mark.parametrize("whole", WHOLE_RESPONSES)
+def test_an_answer_that_ends_within_its_head_is_lost(whole, interim):
+    async def scenario():
+        for length in range(whole.index(b"\r\n\r\n") + 4):
+            connection = PooledConnection(
+                b"x-id", lambda lost: None, ResponseMemory(MAX_BUFFERED_BYTES), 1000
+            )
+            connection._transport = FakeTransport()
+            waiting = connection.send(b"GET /x HTTP/1.1\r\n\r\n", b"", b"one", False)
+            connection.data_received(interim + whole[:length])
+            connection.eof_received()
+            connection.connection_lost(None)
+            with pytest.raises(AnswerLostError):
+                await waiting
+
+    asyncio.run(scenario())
+
+
+def test_only_a_body_that_ends_with_its_connection_may_end_there():
+    async def scenario():
+        for whole, is_lost in zip(WHOLE_RESPONSES, (True, True, False), strict=True):
+            connection = PooledConnection(
+                b"x-id", lambda lost: None, ResponseMemory(MAX_BUFFERED_BYTES), 1000
+            )
+            connection._transport = FakeTransport()
+            waiting = connection.send(b"GET /x HTTP/1.1\r\n\r\n", b"", b"one", False)
+            connection.data_received(whole[:-1])
+            connection.eof_received()
+            connection.connection_lost(None)
+            if is_lost:
+                with pytest.raises(AnswerLostError):
+                    await waiting
+            else:
+                assert (await waiting).body == b"bod"
+
+    asyncio.run(scenario())
--- a/tests/mesh/test_calls.py
+++ b/tests/mesh/test_calls.py
@@ -114,6 +114,27 @@
     asyncio.run(scenario())
 
 
+def test_an_earlier_refusal_once_more_says_nothing_about_a_call_that_runs():
+    async def scenario():
+        async with running_fleet() as fleet:
+            for host in fleet.hosts:
+                host.instance.fault = "stale_refusal"
+                host.instance.service_time_s = 0.03
+            for number in range(6):
+                call_id = f"stale-{number}"
+                status, _, _ = await send_request(
+                    fleet,
+                    fleet.hosts[number % 2],
+                    "/fire/x",
+                    "POST",
+                    headers={"X-Attempt-Id": call_id},
+                )
+                assert runs_of(fleet, call_id) == 1
+                assert status == 502
+
+    asyncio.run(scenario())
+
+
 def test_at_its_timeout_a_call_has_its_final_answer_and_its_work_ends():
     async def scenario():
         routes = [route("/fire/", kind="non_idempotent", timeout="300ms")]
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -2,14 +2,20 @@
 
 import json
 
+import attrs
 import pytest
 from hypothesis import given, strategies as st
 
 from agaterelay.core.model import MoveState
 from agaterelay.core.outcome import Answered, NotRun, Unknown
+from agaterelay.core.signals import UpstreamSignals
 from agaterelay.platform.announcements import decode_announcement, decode_born_ms
 from agaterelay.platform.config import KnownRoutes, decode_config
-from agaterelay.platform.headers import decode_upstream_outcome, forwarded_headers
+from agaterelay.platform.headers import (
+    decode_upstream_outcome,
+    decode_upstream_signals,
+    forwarded_headers,
+)
 from agaterelay.platform.orders import decode_order, encode_status
 from agaterelay.platform.settings import parse_deployment
 from agaterelay.platform.units import parse_seconds
@@ -198,6 +204,33 @@
     assert isinstance(answer(503, **{"x-not-executed": "1"}), NotRun)
     assert isinstance(answer(421), NotRun)
     assert isinstance(answer(503), Answered)
+    for foreign_id in ("d", ""):
+        headers = {"x-not-executed": "1", "x-attempt-id": foreign_id}
+        assert isinstance(answer(503, **headers), Unknown)
+        assert isinstance(answer(421, **headers), Unknown)
+
+
+@pytest.mark.parametrize(
+    ("values", "signals"),
+    [
+        ([], UpstreamSignals()),
+        (["12.5"], UpstreamSignals(12.5)),
+        ([" 3 "], UpstreamSignals(3.0)),
+        ([".5"], UpstreamSignals(0.5)),
+        (["0"], UpstreamSignals(0.0)),
+        (["-1"], UpstreamSignals(invalid_limit="-1")),
+        (["1, 2"], UpstreamSignals(invalid_limit="1, 2")),
+        (["4", "4"], UpstreamSignals(invalid_limit="4, 4")),
+        (["9" * 5000], UpstreamSignals(invalid_limit="9" * 32)),
+        ([""], UpstreamSignals(invalid_limit="(empty)")),
+    ],
+)
+def test_a_rate_limit_is_one_decimal_number(values, signals):
+    headers = tuple((b"Server-Limit", value.encode()) for value in values)
+    assert decode_upstream_signals(headers) == signals
+    leaving = (*headers, (b"Server-Leaving", b"1"))
+    assert decode_upstream_signals(leaving) == attrs.evolve(signals, leaving=True)
+    assert not decode_upstream_signals(((b"Server-Leaving", b"0"),)).leaving
 
 
 def test_headers_of_one_connection_stay_there():
