Take a late request during a stop only if it can end before the node gives up

In a planned stop, requests that came between 3.0 and 3.2 s after the signal were passed on with their whole time limit, and answered 502 at the end of the grace while their instance was at work, also those that may not be repeated. Cause: what is taken depended on the time since the signal alone, not on what is left of the grace. From 2.5 s on, when the platform's two failed polls have turned callers away, a request is taken only if its time limit ends before the node gives up; others are refused unrun. The decision is core/stopping.py.

--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -16,6 +16,7 @@
 from agaterelay.core.membership import Member
 from agaterelay.core.outcome import Answered, NotRun, Outcome
 from agaterelay.core.retry_budget import RetryBudget, make_retry_budget
+from agaterelay.core.stopping import STOP_MARGIN_S, schedule_stop
 from agaterelay.events import EventKind
 from agaterelay.mesh.announcements import expire_silent_upstream, publish_stopping
 from agaterelay.mesh.callers import has_disconnected
@@ -27,6 +28,7 @@
 from agaterelay.mesh.meters import Meters
 from agaterelay.mesh.mover import Mover, run_mover
 from agaterelay.mesh.outbound import (
+    STOPPING_RETRY_S,
     end_requests_in_flight,
     handle_request,
     update_budget_slack,
@@ -51,11 +53,8 @@
 # The platform polls readiness once a second and redirects callers after two failed polls.
 # Requests that arrive later are refused, so that accepted ones can end in time.
 MIN_STOP_S = 3.2
-# The end of the grace period, reserved for closing open connections.
-STOP_MARGIN_S = 0.5
 # Lets the responses to requests that were given up be sent before the process ends.
 FINAL_RESPONSES_DELAY_S = 0.15
-CLOSING_RETRY_AFTER_S = 0.2
 STOP_POLL_S = 0.05
 UPKEEP_PERIOD_S = 0.25
 # A lag of this length is noticeable in the callers' response times.
@@ -123,7 +122,7 @@
 
 def _refuse(node: Node, call_id: str, reason: str) -> HttpResponse:
     """Refuse a request before its route is looked up, and close its connection."""
-    response = response_of(NotRun(reason, CLOSING_RETRY_AFTER_S), closes=True)
+    response = response_of(NotRun(reason, STOPPING_RETRY_S), closes=True)
     record_refused(node, reason, response.status, call_id)
     return response
 
@@ -262,11 +261,14 @@
 async def stop_gracefully(node: Node) -> None:
     """Stop accepting work, and finish what is in flight within the grace period.
 
-    Requests are served until callers have had time to change to other nodes. Later ones
-    are refused, and the process ends as soon as nothing is in flight.
+    Requests are taken until callers have had time to change to other nodes, and a little
+    longer if they end in time. Later ones are refused, and the process ends as soon as
+    nothing is in flight.
     """
     clock = node.context.clock
     began_s = clock.monotonic_s()
+    stop = schedule_stop(began_s, node.context.deployment.bounds.grace_s)
+    node.outbound.stop = stop
     node.state.stopping = True
     node.inbound.stopping = True
     node.context.record(
@@ -276,12 +278,11 @@
     )
     publish_stopping(node.watch)
     apply_upstream_state(node.inbound)
-    give_up_after_s = node.context.deployment.bounds.grace_s - STOP_MARGIN_S
     while True:
         await clock.sleep(STOP_POLL_S)
-        elapsed_s = clock.monotonic_s() - began_s
-        node.closing = elapsed_s >= MIN_STOP_S
-        if elapsed_s >= give_up_after_s:
+        now_s = clock.monotonic_s()
+        node.closing = now_s - began_s >= MIN_STOP_S
+        if now_s >= stop.give_up_s:
             break
         if node.closing and not node.outbound.in_flight and not node.inbound.in_flight:
             break
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -21,6 +21,7 @@
     earn_retry_tokens,
     spend_retry_token,
 )
+from agaterelay.core.stopping import takes_request
 from agaterelay.core.trial import should_brake
 from agaterelay.events import EventKind
 from agaterelay.mesh.inbound import CallResult
@@ -43,6 +44,7 @@
 NO_TABLE_RETRY_S = 0.5
 # Retry-after of a request whose time passed behind others on its connection.
 LATE_RETRY_S = 0.05
+STOPPING_RETRY_S = 0.2
 # Shorter waits behind other requests of the connection are left out of the log.
 MIN_LOGGED_WAIT_S = 0.02
 # A retry needs at least this part of the mean service time before the deadline.
@@ -82,6 +84,11 @@
     if waited_s >= timeout_s:
         reason = "its time passed while it waited for its turn on the connection"
         return _refuse(outbound, request, NotRun(reason, LATE_RETRY_S), waited_s)
+    if outbound.stop is not None and not takes_request(
+        outbound.stop, started_s, started_s + timeout_s
+    ):
+        reason = "the node is stopping, and its time limit ends after that"
+        return _refuse(outbound, request, NotRun(reason, STOPPING_RETRY_S), waited_s)
     service = choose_service(outbound, route)
     request_state = RequestState(
         request, route, service, started_s, started_s + timeout_s, waited_s=waited_s
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -13,6 +13,7 @@
 from agaterelay.core.outcome import Outcome
 from agaterelay.core.placing import RouteCosts
 from agaterelay.core.retry_budget import RetryBudget
+from agaterelay.core.stopping import StopSchedule
 from agaterelay.core.weighted_round_robin import WeightedRoundRobin
 from agaterelay.mesh.link import Links
 from agaterelay.mesh.state import MeshState, NodeContext
@@ -63,6 +64,7 @@
         indexed_table: The route table from which ``routes`` was built.
         route_costs: Mean service time and answer size, by route.
         longest_wait_ms: The longest time that a caller has waited for, by route.
+        stop: The schedule of the node's graceful stop, None while it serves.
         shutting_down: Whether attempts end because the process ends.
         attempt_timeouts: The timeouts of the attempts in flight.
         answered_count: The number of answered requests; selects those that are logged.
@@ -81,6 +83,7 @@
     in_flight: int = 0
     route_costs: dict[str, RouteCosts] = attrs.field(factory=dict)
     longest_wait_ms: dict[str, int] = attrs.field(factory=dict)
+    stop: StopSchedule | None = None
     shutting_down: bool = False
     attempt_timeouts: set[asyncio.Timeout] = attrs.field(factory=set)
     answered_count: int = 0
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -49,3 +49,33 @@
             assert waiting.result()[0] == 502
 
     asyncio.run(scenario())
+
+
+def test_a_request_late_in_the_grace_is_passed_on_only_if_it_can_end_in_time(
+    monkeypatch,
+):
+    async def scenario():
+        async with running_fleet(("desk", "panel")) as fleet:
+            desk, panel = fleet.hosts
+            monkeypatch.setattr(
+                "agaterelay.core.stopping.CALLERS_LEAVE_S", 0.2, raising=False
+            )
+            node = panel.node
+            bounds = Bounds(grace_s=1.4)
+            deployment = attrs.evolve(node.context.deployment, bounds=bounds)
+            node.context = attrs.evolve(node.context, deployment=deployment)
+            stopping = asyncio.create_task(stop_gracefully(node))
+            await asyncio.sleep(0.3)
+            short = await send_request(fleet, panel, "/fire/x", "POST", wait_ms=300)
+            assert short[0] == 200
+            desk.instance.service_time_s = 1.2
+            ran_before = len(desk.instance.started_calls)
+            status, headers, _ = await send_request(
+                fleet, panel, "/fire/x", "POST", wait_ms=1500
+            )
+            assert status == 503
+            assert float(headers["Retry-After"]) > 0
+            assert len(desk.instance.started_calls) == ran_before
+            await stopping
+
+    asyncio.run(scenario())
