Show the rate limit in metrics, attempts and traces; read Retry-After of a refusal

A refusal by the upstream names the time to come back, which was dropped: of the same class as the limit.

--- a/agaterelay/core/request_trace.py
+++ b/agaterelay/core/request_trace.py
@@ -25,6 +25,7 @@
     "upstream_announced",
     "upstream_draining",
     "upstream_withdrawn",
+    "upstream_limited",
     "move_stepped",
     "move_finished",
     "move_braked",
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -172,9 +172,12 @@
 
 def _render_metrics(node: Node, sink: LineSink) -> HttpResponse:
     gauges = node.meters.gauges
+    rate_limit = node.inbound.queue.rate_limit
     gauges["revision"] = revision_of(node.state)
     gauges["slots_in_use"] = node.inbound.queue.in_use
     gauges["calls_waiting"] = len(node.inbound.queue.waiting)
+    gauges["upstream_rate_limited"] = rate_limit.rate_per_s is not None
+    gauges["upstream_rate_limit_per_second"] = rate_limit.rate_per_s or 0.0
     gauges["links_up"] = sum(link.usable for link in node.links.links.values())
     gauges["store_up"] = node.state.store_up
     gauges["log_lines_dropped"] = sink.dropped
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -21,6 +21,8 @@
     "revision": "The configuration in force.",
     "slots_in_use": "Calls that this host's upstream runs.",
     "calls_waiting": "Calls that wait for a slot.",
+    "upstream_rate_limited": "Whether this host's upstream names a rate limit.",
+    "upstream_rate_limit_per_second": "The rate limit, 0 if it names none.",
     "links_up": "Links to other nodes that can be used.",
     "store_up": "Whether the store answered last.",
     "log_lines_dropped": "Log lines left out lately.",
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -298,13 +298,17 @@
     """Return the load known when a call is placed, empty if nothing is known.
 
     In order: calls in flight, slots, mean service time in milliseconds, ratio of failed
-    calls, and the age of the report in milliseconds.
+    calls, and the age of the report in milliseconds. If the upstream names a rate limit,
+    it follows in calls per second, with the wait for it in milliseconds.
     """
     report = load.report
     if report is None:
         return ()
     age_ms = int((now_s - load.reported_at_s) * 1000)
-    return (report.in_flight, report.slots, report.work_ms, report.failing, age_ms)
+    known = (report.in_flight, report.slots, report.work_ms, report.failing, age_ms)
+    if not report.rate_limit_per_s:
+        return known
+    return (*known, report.rate_limit_per_s, report.rate_wait_ms)
 
 
 def _record_retry_after(request_state: RequestState, outcome: NotRun) -> None:
--- a/agaterelay/platform/headers.py
+++ b/agaterelay/platform/headers.py
@@ -21,6 +21,7 @@
 RATE_LIMIT_KEY = b"server-limit"
 LEAVING_KEY = b"server-leaving"
 MISDIRECTED = 421
+MAX_RETRY_AFTER_S = 30.0
 _MAX_NUMBER_LENGTH = 32
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]*)?|\.[0-9]+")
 # Hop-by-hop headers, and headers that the node sets itself.
@@ -85,7 +86,7 @@
         return Unknown("the answer is of another call")
     if NOT_EXECUTED in keys or status == MISDIRECTED:
         reason = "another instance is there" if status == MISDIRECTED else "shed"
-        return NotRun(reason)
+        return NotRun(reason, _parse_retry_after_s(keys.get(b"retry-after", b"")))
     if b"content-encoding" in keys:
         return Unknown("the answer is encoded")
     if 200 <= status < 300 and not keys.get(SEAL):
@@ -97,6 +98,13 @@
     return Answered(status, forwarded, body)
 
 
+def _parse_retry_after_s(text: bytes) -> float:
+    """Return the seconds of a Retry-After header, 0 if it is absent, a date or invalid."""
+    if len(text) > _MAX_NUMBER_LENGTH or not _DECIMAL_NUMBER.fullmatch(text):
+        return 0.0
+    return min(float(text), MAX_RETRY_AFTER_S)
+
+
 def decode_upstream_signals(headers: RawHeaders) -> UpstreamSignals:
     """Return what the headers of an upstream's answer say about the upstream."""
     limits = [
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -210,6 +210,15 @@
         assert isinstance(answer(421, **headers), Unknown)
 
 
+@pytest.mark.parametrize(
+    ("text", "retry_after_s"),
+    [("2", 2.0), ("0.25", 0.25), ("soon", 0.0), ("-1", 0.0), ("9999", 30.0)],
+)
+def test_the_time_to_come_back_is_the_one_that_the_upstream_names(text, retry_after_s):
+    refusal = answer(503, **{"x-not-executed": "1", "retry-after": text})
+    assert refusal.retry_after_s == retry_after_s
+
+
 @pytest.mark.parametrize(
     ("values", "signals"),
     [
