--- a/tests/mesh/test_upstream_signals.py
+++ b/tests/mesh/test_upstream_signals.py
@@ -43,6 +43,15 @@
     return statuses
 
 
+async def say_leaving(fleet, host):
+    """Let an instance say in an answer that it leaves; return how many calls it ran."""
+    host.instance.answer_headers = [("Server-Leaving", "1")]
+    while not run_count(host):
+        await send_many(fleet, 4)
+    await asyncio.sleep(0.05)
+    return run_count(host)
+
+
 def test_an_upstream_gets_no_more_calls_than_the_limit_that_it_names():
     async def scenario():
         async with running_fleet(("desk", "panel")) as fleet:
@@ -142,11 +151,7 @@
     async def scenario():
         async with running_fleet() as fleet:
             leaving, other = fleet.hosts
-            leaving.instance.answer_headers = [("Server-Leaving", "1")]
-            while not run_count(leaving):
-                await send_many(fleet, 4)
-            await asyncio.sleep(0.05)
-            before = run_count(leaving)
+            before = await say_leaving(fleet, leaving)
             assert set(await send_many(fleet, 40)) == {200}
             assert run_count(leaving) == before
             assert run_count(other) >= 40
@@ -183,11 +188,7 @@
     async def scenario():
         async with running_fleet() as fleet:
             leaving, other = fleet.hosts
-            leaving.instance.answer_headers = [("Server-Leaving", "1")]
-            while not run_count(leaving):
-                await send_many(fleet, 4)
-            await asyncio.sleep(0.05)
-            before = run_count(leaving)
+            before = await say_leaving(fleet, leaving)
             leaving.instance.answer_headers = []
             assert await announce(leaving.instance, admin_address(leaving)) == 200
             await send_many(fleet, 20)
