Let a wait for the rate limit cost as much as one for a slot; simulate limits

Played load: five upstreams, four limited to half, at 0.5, 0.8 and 1.25 of the slots' capacity. The simulation runs the node's report, bucket and queue; it also showed that a token could stay short of complete by a rounding error after its wait, which asks again at once: the margin is now in the check alone.

--- a/agaterelay/core/placing.py
+++ b/agaterelay/core/placing.py
@@ -28,11 +28,9 @@
 CONTENTION_RATIO = 0.3
 # An exponent of 1 would leave slow upstreams idle while the fast ones refuse calls.
 SLOWNESS_EXPONENT = 0.5
-# A queued call delays others too, and leaves a slot elsewhere idle in the meantime.
+# A call that waits for a slot, or for the upstream's rate limit, delays others too, and
+# leaves a slot elsewhere idle in the meantime.
 QUEUEING_COST_FACTOR = 8.0
-# A call that waits for the upstream's rate limit takes a token that another call could
-# have used, while upstreams without a limit have room.
-RATE_LIMIT_COST_FACTOR = 2.0
 # Reported calls of other nodes lose half of their weight in this time.
 REPORT_HALF_LIFE_S = 0.4
 INITIAL_SERVICE_TIME_MS = 60.0
@@ -158,7 +156,7 @@
     cost_ms += QUEUEING_COST_FACTOR * waiting / slots * turn_ms
     if report:
         cost_ms += report.failing * FAILURE_COST_MS
-        cost_ms += RATE_LIMIT_COST_FACTOR * rate_wait_ms(load, now_s)
+        cost_ms += QUEUEING_COST_FACTOR * rate_wait_ms(load, now_s)
     return cost_ms if same_zone else cost_ms + zone_penalty_ms(route.answer_bytes)
 
 
--- a/agaterelay/core/rate_limit.py
+++ b/agaterelay/core/rate_limit.py
@@ -14,7 +14,7 @@
 # How many seconds' worth of calls the bucket holds, at least one call.
 BURST_S = 0.5
 MIN_RATE_PER_S = 0.5
-# A call is admitted a rounding error before its token is complete.
+# Covers rounding, so that a token is complete once its wait is over.
 TOKEN_EPSILON = 1e-6
 
 
@@ -71,7 +71,10 @@
 
 def has_token(limit: RateLimit, now_s: float) -> bool:
     """Return whether the upstream accepts one more call now."""
-    return wait_for_token_s(limit, 0, now_s) <= 0
+    if limit.rate_per_s is None:
+        return True
+    _refill(limit, now_s)
+    return limit.tokens >= 1 - TOKEN_EPSILON
 
 
 def take_token(limit: RateLimit, now_s: float) -> None:
@@ -102,7 +105,7 @@
     if limit.rate_per_s is None:
         return 0.0
     _refill(limit, now_s)
-    return (ahead + 1 - TOKEN_EPSILON - limit.tokens) / _filling_rate(limit.rate_per_s)
+    return (ahead + 1 - limit.tokens) / _filling_rate(limit.rate_per_s)
 
 
 def _filling_rate(rate_per_s: float) -> float:
--- a/agaterelay/core/slot_queue.py
+++ b/agaterelay/core/slot_queue.py
@@ -17,7 +17,9 @@
 
 import attrs
 
+from agaterelay.core.placing import LoadReport
 from agaterelay.core.rate_limit import (
+    MIN_RATE_PER_S,
     RateLimit,
     has_token,
     return_token,
@@ -312,3 +314,18 @@
 def failure_ratio(queue: SlotQueue, now_s: float) -> float:
     """Return the smoothed ratio of recent calls that failed."""
     return queue.failing * 0.5 ** ((now_s - queue.failing_s) / FAILURE_HALF_LIFE_S)
+
+
+def make_load_report(queue: SlotQueue, now_s: float) -> LoadReport:
+    """Return the load that outbound proxies use to place calls."""
+    waiting = len(queue.waiting)
+    rate_per_s = queue.rate_limit.rate_per_s
+    rate_wait_s = wait_for_token_s(queue.rate_limit, waiting, now_s)
+    return LoadReport(
+        in_flight=queue.in_use + waiting,
+        slots=queue.slots,
+        work_ms=round(queue.service_time_s * 1000, 1),
+        failing=round(failure_ratio(queue, now_s), 3),
+        rate_limit_per_s=0.0 if rate_per_s is None else max(rate_per_s, MIN_RATE_PER_S),
+        rate_wait_ms=round(rate_wait_s * 1000),
+    )
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -33,12 +33,7 @@
 from agaterelay.core.evidence import Tally, add_calls
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
-from agaterelay.core.rate_limit import (
-    MIN_RATE_PER_S,
-    RateLimit,
-    update_rate,
-    wait_for_token_s,
-)
+from agaterelay.core.rate_limit import RateLimit, update_rate
 from agaterelay.core.signals import UpstreamSignals
 from agaterelay.core.slot_queue import (
     RATE_LIMIT_REASON,
@@ -47,8 +42,8 @@
     SlotQueue,
     Ticket,
     compute_retry_after_s,
-    failure_ratio,
     grant_free_slots,
+    make_load_report,
     make_ticket,
     max_wait_s,
     record_call_end,
@@ -165,19 +160,7 @@
 
 def report_load(inbound: Inbound) -> LoadReport:
     """Return the load that outbound proxies use to place calls."""
-    now_s = inbound.context.clock.monotonic_s()
-    queue = inbound.queue
-    rate_per_s = queue.rate_limit.rate_per_s
-    return LoadReport(
-        in_flight=queue.in_use + len(queue.waiting),
-        slots=queue.slots,
-        work_ms=round(queue.service_time_s * 1000, 1),
-        failing=round(failure_ratio(queue, now_s), 3),
-        rate_limit_per_s=0.0 if rate_per_s is None else max(rate_per_s, MIN_RATE_PER_S),
-        rate_wait_ms=round(
-            wait_for_token_s(queue.rate_limit, len(queue.waiting), now_s) * 1000
-        ),
-    )
+    return make_load_report(inbound.queue, inbound.context.clock.monotonic_s())
 
 
 def find_refusal_reason(inbound: Inbound) -> str | None:
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -19,7 +19,6 @@
 
 from agaterelay.core import slot_queue
 from agaterelay.core.placing import (
-    LoadReport,
     RouteCosts,
     TargetLoad,
     expected_cost_ms,
@@ -27,6 +26,7 @@
     record_load_report,
     select_cheapest,
 )
+from agaterelay.core.rate_limit import update_rate
 from agaterelay.core.slot_queue import Granted, Queued, Refused, SlotQueue, Ticket
 
 # The one-way delay by whether both ends are in the same zone.
@@ -60,7 +60,8 @@
 class Scenario:
     """The offered load and the upstreams that serve it.
 
-    ``speeds`` and ``zones`` hold one value for each upstream.
+    ``speeds`` and ``zones`` hold one value for each upstream, as does ``rate_limits_per_s``
+    unless no upstream names a limit; None is an upstream without one.
     """
 
     kinds: tuple[RequestKind, ...]
@@ -70,16 +71,19 @@
     outbound_count: int = 11
     length_s: float = 20.0
     load: float = 1.0
+    rate_limits_per_s: tuple[float | None, ...] = ()
 
 
 @attrs.define
 class Inbound:
-    """One upstream and the inbound proxy next to it."""
+    """One upstream and the inbound proxy next to it; ``sent_s`` is when calls were sent."""
 
     zone: int
     speed: float
     queue: SlotQueue
     waiting: dict[int, Attempt] = attrs.field(factory=dict)
+    sent_s: list[float] = attrs.field(factory=list)
+    grant_is_scheduled: bool = False
 
 
 @attrs.define
@@ -122,6 +126,7 @@
     offered_worth: float = 0.0
     busy_s: float = 0.0
     cross_zone_bytes: int = 0
+    sent_s: tuple[list[float], ...] = ()
 
     @property
     def earned_ratio(self) -> float:
@@ -207,7 +212,10 @@
         Outbound(number % 3, [TargetLoad() for _ in inbounds])
         for number in range(scenario.outbound_count)
     ]
+    for inbound, rate_per_s in zip(inbounds, scenario.rate_limits_per_s, strict=False):
+        update_rate(inbound.queue.rate_limit, rate_per_s, 0.0, 0.0)
     run = Run(scenario, choose, draw, inbounds, outbounds)
+    run.result.sent_s = tuple(inbound.sent_s for inbound in inbounds)
     for kind in scenario.kinds:
         _schedule_arrival(run, kind)
     while run.events:
@@ -273,6 +281,31 @@
             _return_refusal(run, evicted, inbound.queue.service_time_s)
         max_wait_s = slot_queue.max_wait_s(ticket, run.now_s)
         _schedule(run, max_wait_s, lambda: _expire_ticket(run, attempt))
+        _schedule_grant(run, inbound)
+
+
+def _schedule_grant(run: Run, inbound: Inbound) -> None:
+    wait_s = slot_queue.wait_for_rate_limit_s(inbound.queue, run.now_s)
+    if not wait_s or inbound.grant_is_scheduled:
+        return
+
+    def grant() -> None:
+        inbound.grant_is_scheduled = False
+        _grant_next(run, inbound)
+
+    inbound.grant_is_scheduled = True
+    _schedule(run, wait_s, grant)
+
+
+def _grant_next(run: Run, inbound: Inbound) -> None:
+    granted, late = slot_queue.grant_free_slots(inbound.queue, run.now_s)
+    for ticket in granted:
+        _run_call(run, inbound.waiting.pop(id(ticket)))
+    for ticket in late:
+        _return_refusal(
+            run, inbound.waiting.pop(id(ticket)), inbound.queue.service_time_s
+        )
+    _schedule_grant(run, inbound)
 
 
 def _expire_ticket(run: Run, attempt: Attempt) -> None:
@@ -288,6 +321,7 @@
 
 def _run_call(run: Run, attempt: Attempt) -> None:
     kind, inbound = attempt.request.kind, run.inbounds[attempt.inbound_index]
+    inbound.sent_s.append(run.now_s)
     sigma = kind.sigma
     service_time_s = kind.service_time_s / inbound.speed
     service_time_s *= run.draw.lognormvariate(-sigma * sigma / 2, sigma)
@@ -303,13 +337,7 @@
         inbound.queue, attempt.request.kind.name, service_time_s
     )
     slot_queue.release_slot(inbound.queue)
-    granted, late = slot_queue.grant_free_slots(inbound.queue, run.now_s)
-    for ticket in granted:
-        _run_call(run, inbound.waiting.pop(id(ticket)))
-    for ticket in late:
-        _return_refusal(
-            run, inbound.waiting.pop(id(ticket)), inbound.queue.service_time_s
-        )
+    _grant_next(run, inbound)
     _schedule_report(run, attempt, service_time_s * 1000)
     _schedule(
         run, _hop_time_s(run, attempt), lambda: _record_outcome(run, attempt.request)
@@ -322,9 +350,8 @@
 
 
 def _schedule_report(run: Run, attempt: Attempt, service_time_ms: float) -> None:
-    queue = run.inbounds[attempt.inbound_index].queue
-    report = LoadReport(
-        queue.in_use + len(queue.waiting), queue.slots, queue.service_time_s * 1000
+    report = slot_queue.make_load_report(
+        run.inbounds[attempt.inbound_index].queue, run.now_s
     )
 
     def apply_report() -> None:
--- a/tests/core/test_overload.py
+++ b/tests/core/test_overload.py
@@ -48,3 +48,29 @@
     assert ends["read", "in time"] > 4 * ends["read", "late"]
     fired = sum(count for (kind, _), count in ends.items() if kind == "fire")
     assert ends["fire", "in time"] > 0.95 * fired
+
+
+def halve_rates(scene, count):
+    """Return the scenario with limits on the first upstreams: half of what they can do."""
+    mean_s = sum(kind.per_s * kind.service_time_s for kind in scene.kinds) / sum(
+        kind.per_s for kind in scene.kinds
+    )
+    limits = [0.5 * scene.slots * speed / mean_s for speed in scene.speeds[:count]]
+    unlimited = [None] * (len(scene.speeds) - count)
+    return attrs.evolve(scene, rate_limits_per_s=(*limits, *unlimited))
+
+
+@pytest.mark.parametrize("load", [0.5, 0.8, 1.25])
+def test_under_rate_limits_callers_get_what_is_left_and_the_limits_hold(load):
+    scene = attrs.evolve(DESK_SCENARIO, load=load)
+    scene = halve_rates(scene, len(scene.speeds) - 1)
+    result = simulate(scene)
+    for sent_s, limit in zip(result.sent_s, scene.rate_limits_per_s, strict=True):
+        for began_s in sent_s if limit else ():
+            count = sum(began_s <= time_s < began_s + 4 for time_s in sent_s)
+            assert count <= 1.5 * 4 * limit + 5
+    *limited_speeds, free_speed = scene.speeds
+    rest = attrs.evolve(scene, speeds=(sum(limited_speeds) / 2, free_speed))
+    assert result.earned_ratio >= 0.9 * best_worth(rest)
+    for baseline in (choose_least_outstanding, make_round_robin()):
+        assert result.earned_ratio >= simulate(scene, baseline).earned_ratio - 0.005
