--- a/agaterelay/mesh/announcements.py
+++ b/agaterelay/mesh/announcements.py
@@ -18,11 +18,11 @@
 from agaterelay.mesh.inbound import (
     Inbound,
     apply_upstream_state,
-    probe_upstream,
     reset_instance_state,
 )
 from agaterelay.mesh.member_rows import publish_own_member, try_write_own_row
 from agaterelay.mesh.store_watch import StoreWatch
+from agaterelay.mesh.upstream_probe import probe_upstream
 
 # An upstream waits one second for its draining or withdrawal to be confirmed. It is
 # confirmed in time even without the store; the linked nodes are notified before the write.
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -69,8 +69,6 @@
 DRAINING_RETRY_S = 0.1
 # One of this many calls is logged, besides all that failed.
 CALLS_PER_LOG_LINE = 50
-# An announcement is confirmed within one second, and the probe is part of that time.
-PROBE_TIMEOUT_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -365,7 +363,7 @@
         )
         if not isinstance(outcome, Unknown):
             signals = inbound.wire.signals(answer.headers)
-            _apply_signals(inbound, signals, started_s, start, call.call_id)
+            apply_signals(inbound, signals, started_s, start, call.call_id)
             leaving = signals.leaving
     now_s = clock.monotonic_s()
     _record_call(
@@ -382,7 +380,7 @@
     return (current.instance, current.born_ms) if current is not None else None
 
 
-def _apply_signals(
+def apply_signals(
     inbound: Inbound,
     signals: UpstreamSignals,
     sent_s: float,
@@ -505,44 +503,3 @@
     return sum_tallies(
         tallies for second, tallies in inbound.tallies if second >= int(since_s)
     )
-
-
-async def probe_upstream(inbound: Inbound, path: str, instance: str) -> bool:
-    """Return whether the upstream's health check succeeds and names this instance."""
-    clock = inbound.context.clock
-    started_s = clock.monotonic_s()
-    headers = ((b"Host", inbound.context.deployment.upstream_address.encode()),)
-    try:
-        connection = await inbound.pool.acquire(started_s)
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                answer = await connection.send(
-                    render_head("GET", path, headers, b""), b"", b"", False
-                )
-        except BaseException:
-            connection.close()
-            raise
-    except (NotSentError, AnswerLostError, TimeoutError) as error:
-        inbound.context.record(
-            EventKind.UPSTREAM_PROBED,
-            instance=instance,
-            outcome=f"{type(error).__name__}: {error}",
-        )
-        return False
-    inbound.pool.release(connection, clock.monotonic_s())
-    headers_by_name = {name.lower(): value for name, value in answer.headers}
-    answering_instance = headers_by_name.get(inbound.wire.instance_header, b"").decode(
-        "latin-1"
-    )
-    signals = inbound.wire.signals(answer.headers)
-    inbound.context.record(
-        EventKind.UPSTREAM_PROBED,
-        instance=instance,
-        outcome=f"status {answer.status} of {answering_instance or 'an unnamed instance'}",
-        rate_limit_per_s=signals.rate_limit_per_s,
-    )
-    if answering_instance != instance:
-        return False
-    if signals.rate_limit_per_s is not None or signals.leaving:
-        _apply_signals(inbound, signals, started_s, current_start(inbound), "")
-    return answer.status == 200 and not signals.leaving
