Keep the instances announced in the test of standbys and a failing store

Traced: the instances had announced themselves up to a second before the store went down, so within the 5.5 s that are counted they fell silent (event 311, 6.0 s) and their hosts began to write their rows. The bound stays; a rise by feeds alone is found sooner than before.

--- a/tests/mesh/test_readers.py
+++ b/tests/mesh/test_readers.py
@@ -248,6 +248,9 @@
         async with running_fleet(("desk", "desk", "panel")) as fleet:
             await settle(fleet)
             host = next(item for item in fleet.hosts if not item.node.state.watching)
+            # An instance that falls silent would have its host write its row meanwhile.
+            for item in fleet.hosts:
+                await announce(item.instance, admin_address(item))
             calls = []
             host.store.count = lambda call, result: calls.append(call)
             fleet.store.faults.down = True
