Leave out what another instance at the address says about itself

Found in the read-through: a 421 of an instance that took the address over was read for the limit and the leaving, and both were put down to the expected instance: one that said that it leaves kept the expected one out for good (503 for all calls in the test, 200 now), and one without a limit lifted the expected one's.

--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -108,14 +108,15 @@
         headers: Returns the headers of a call, given the remaining time in milliseconds.
         outcome: Returns the outcome, given an answer's status, headers and body, and the
             id of the call.
-        signals: Returns what an answer's headers say about the upstream.
+        signals: Returns what an answer says about the upstream, given its status and
+            headers; None if another instance gave it.
         id_header: The lower-case name of the header that carries the call's id.
         instance_header: The lower-case name of the header that names the instance.
     """
 
     headers: Callable[[Call, int], RawHeaders]
     outcome: Callable[[int, RawHeaders, bytes, str], Outcome]
-    signals: Callable[[RawHeaders], UpstreamSignals]
+    signals: Callable[[int, RawHeaders], UpstreamSignals | None]
     id_header: bytes
     instance_header: bytes
 
@@ -362,9 +363,10 @@
             answer.status, answer.headers, answer.body, call.call_id
         )
         if not isinstance(outcome, Unknown):
-            signals = inbound.wire.signals(answer.headers)
-            apply_signals(inbound, signals, started_s, start, call.call_id)
-            leaving = signals.leaving
+            signals = inbound.wire.signals(answer.status, answer.headers)
+            if signals is not None:
+                apply_signals(inbound, signals, started_s, start, call.call_id)
+                leaving = signals.leaving
     now_s = clock.monotonic_s()
     _record_call(
         inbound, call, outcome, started_s - arrived_s, now_s - started_s, now_s
--- a/agaterelay/mesh/upstream_probe.py
+++ b/agaterelay/mesh/upstream_probe.py
@@ -44,7 +44,7 @@
     answering_instance = headers_by_name.get(inbound.wire.instance_header, b"").decode(
         "latin-1"
     )
-    signals = inbound.wire.signals(answer.headers)
+    signals = inbound.wire.signals(answer.status, answer.headers) or NO_SIGNALS
     inbound.context.record(
         EventKind.UPSTREAM_PROBED,
         instance=instance,
--- a/agaterelay/platform/headers.py
+++ b/agaterelay/platform/headers.py
@@ -105,8 +105,14 @@
     return min(float(text), MAX_RETRY_AFTER_S)
 
 
-def decode_upstream_signals(headers: RawHeaders) -> UpstreamSignals:
-    """Return what the headers of an upstream's answer say about the upstream."""
+def decode_upstream_signals(status: int, headers: RawHeaders) -> UpstreamSignals | None:
+    """Return what an upstream's answer says about the upstream.
+
+    Returns:
+        None for the answer of another instance than the expected one.
+    """
+    if status == MISDIRECTED:
+        return None
     limits = [
         value.strip() for name, value in headers if name.lower() == RATE_LIMIT_KEY
     ]
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -170,7 +170,7 @@
         return
     if headers.get("X-Expect-Instance", instance.instance) != instance.instance:
         own_headers = {"X-Instance-Id": instance.instance, "X-Attempt-Id": call_id}
-        _write(writer, 421, own_headers, b"")
+        _write(writer, 421, own_headers, b"", instance.answer_headers)
         return
     if instance.running >= instance.slots:
         own_headers = {"X-Not-Executed": "1", "X-Attempt-Id": call_id}
--- a/tests/mesh/test_upstream_signals.py
+++ b/tests/mesh/test_upstream_signals.py
@@ -200,3 +200,21 @@
             assert set(await send_many(fleet, 20)) == {200}
 
     asyncio.run(scenario())
+
+
+def test_what_another_instance_at_the_address_says_is_not_taken_for_the_expected_one():
+    async def scenario():
+        async with running_fleet() as fleet:
+            desk = fleet.hosts[0]
+            announced = desk.instance.instance
+            desk.instance.instance = "i-other"
+            desk.instance.answer_headers = [("Server-Leaving", "1")]
+            for _ in range(4):
+                await send_many(fleet, 4)
+            desk.instance.instance = announced
+            desk.instance.answer_headers = []
+            await withdraw(fleet.hosts[1].instance, admin_address(fleet.hosts[1]))
+            await asyncio.sleep(0.05)
+            assert set(await send_many(fleet, 8)) == {200}
+
+    asyncio.run(scenario())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -236,10 +236,10 @@
 )
 def test_a_rate_limit_is_one_decimal_number(values, signals):
     headers = tuple((b"Server-Limit", value.encode()) for value in values)
-    assert decode_upstream_signals(headers) == signals
+    assert decode_upstream_signals(200, headers) == signals
     leaving = (*headers, (b"Server-Leaving", b"1"))
-    assert decode_upstream_signals(leaving) == attrs.evolve(signals, leaving=True)
-    assert not decode_upstream_signals(((b"Server-Leaving", b"0"),)).leaving
+    assert decode_upstream_signals(200, leaving) == attrs.evolve(signals, leaving=True)
+    assert not decode_upstream_signals(200, ((b"Server-Leaving", b"0"),)).leaving
 
 
 def test_headers_of_one_connection_stay_there():
