--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -50,8 +50,7 @@
 # response.
 CLOSE_ON_REFUSAL_CONNECTION_COUNT = 200
 MAX_CONNECTIONS = 2000
-# The platform polls readiness once a second and redirects callers after two failed polls.
-# Requests that arrive later are refused, so that accepted ones can end in time.
+# Requests that arrive later than this after the signal are refused in any case.
 MIN_STOP_S = 3.2
 # Lets the responses to requests that were given up be sent before the process ends.
 FINAL_RESPONSES_DELAY_S = 0.15
