--- a/agaterelay/core/placing.py
+++ b/agaterelay/core/placing.py
@@ -69,8 +69,7 @@
 
     ``own`` counts this node's calls there, ``others_in_flight`` those of all other
     nodes as last reported. ``sent`` counts this node's calls since that report.
-    ``slowness`` is the ratio of the upstream's service times to
-    the means of the routes.
+    ``slowness`` is the ratio of the upstream's service times to the means of the routes.
     """
 
     report: LoadReport | None = None
