--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -43,6 +43,7 @@
     MEMBER_PREFIX,
     MOVE_PREFIX,
     StoreWatch,
+    record_answer_time,
     record_store_lost,
     record_store_recovered,
 )
@@ -86,11 +87,19 @@
         routes=len(table.routes),
         source=source,
         known_ms=round((now_s - catch_up.seen_s) * 1000) if known else 0,
+        **_describe_call(watch, source),
     )
     if source == "store" or reads_for_standbys(watch):
         broadcast_revision(watch)
 
 
+def _describe_call(watch: StoreWatch, source: str) -> dict[str, int]:
+    """Return how long the call to the store took that brought a configuration."""
+    if source != "store":
+        return {}
+    return {"call_ms": round(watch.call_s.get(watch.formats.table, 0.0) * 1000)}
+
+
 def _apply_operator_row(watch: StoreWatch, row: StoredRow) -> None:
     if row.key == watch.formats.config_key:
         if not row.deleted:
@@ -182,7 +191,8 @@
             await clock.sleep(STANDBY_CHECK_PERIOD_S)
             continue
         wait_s = 0.0 if version is None else long_poll_s(watch, table)
-        watch.answer_due_s[table] = clock.monotonic_s() + wait_s
+        began_s = clock.monotonic_s()
+        watch.answer_due_s[table] = began_s + wait_s
         try:
             if version is None:
                 changes = await watch.context.store.read_table(table)
@@ -204,7 +214,10 @@
         finally:
             del watch.answer_due_s[table]
         record_store_recovered(watch, table)
-        watch.answered_s[table] = clock.monotonic_s()
+        now_s = watch.answered_s[table] = clock.monotonic_s()
+        watch.call_s[table] = now_s - began_s
+        if version is None or not changes.rows:
+            record_answer_time(watch, began_s, wait_s)
         retry_s = 0.0
         version = max(changes.version, version or 0)
         _apply_rows(watch, changes, apply_row)
--- a/agaterelay/mesh/revisions.py
+++ b/agaterelay/mesh/revisions.py
@@ -56,6 +56,12 @@
     )
     if chosen is not None:
         chosen.send([Frame.WANT_TABLE, revision_of(links.state)])
+        links.context.record(
+            EventKind.REVISION_REQUESTED,
+            revision=catch_up.newer_revisions[chosen],
+            before=revision_of(links.state),
+            peer=chosen.host,
+        )
 
 
 def cache_document(links: Links, table: RouteTable) -> None:
--- a/agaterelay/mesh/store_watch.py
+++ b/agaterelay/mesh/store_watch.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from agaterelay.core.feed_pacing import AnswerTime, record_answer
 from agaterelay.core.model import Finding, RouteTable
 from agaterelay.core.trial import Order
 from agaterelay.events import EventKind
@@ -39,8 +40,10 @@
     ``own_row_version`` is the version of this host's row as last read, and
     ``own_row_value`` its content as last written. ``member_versions`` are the versions of
     the other hosts' rows. ``lost`` names the tables and tasks whose last call the store
-    did not answer. For each table, ``answered_s`` is when the store last answered, and
-    ``answer_due_s`` when its answer to the open call is due, on the steady clock.
+    did not answer. For each table, ``answered_s`` is when the store last answered,
+    ``answer_due_s`` when its answer to the open call is due, on the steady clock, and
+    ``call_s`` how long the call took that was answered last. ``answer_time`` is what
+    these calls say of the store.
     ``read_s`` is when both tables had been read for the first time.
     """
 
@@ -54,6 +57,8 @@
     lost: set[str] = attrs.field(factory=set)
     answered_s: dict[str, float] = attrs.field(factory=dict)
     answer_due_s: dict[str, float] = attrs.field(factory=dict)
+    call_s: dict[str, float] = attrs.field(factory=dict)
+    answer_time: AnswerTime = attrs.field(factory=AnswerTime)
     read_s: float = NEVER_S
 
 
@@ -71,3 +76,20 @@
         watch.lost.discard(table)
         watch.context.record(EventKind.PLATFORM_BACK, table=table)
     watch.state.store_up = not watch.lost
+
+
+def record_answer_time(watch: StoreWatch, began_s: float, wait_s: float) -> None:
+    """Record how long the store took for a call that no change has ended early.
+
+    Args:
+        watch: The state of the tasks that follow the store.
+        began_s: When the call was sent, on the steady clock.
+        wait_s: How long the store was asked to wait for changes, in seconds.
+    """
+    now_s = watch.context.clock.monotonic_s()
+    if record_answer(watch.answer_time, began_s, wait_s, now_s):
+        watch.context.record(
+            EventKind.STORE_ANSWER_TIME,
+            answer_ms=round(watch.answer_time.answer_s * 1000),
+            slow=watch.answer_time.is_slow,
+        )
