--- a/agaterelay/adapters/http_pool.py
+++ b/agaterelay/adapters/http_pool.py
@@ -111,6 +111,8 @@
         self._eof_received = False
         self._reset_response()
         self.reusable = True
+        # Called when a part of the answer has arrived.
+        self.on_data: Callable[[], None] | None = None
         # Whether an earlier call was answered on this connection.
         self.was_used = False
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -172,6 +174,8 @@
             # No call is in progress, so this is a duplicate response.
             self.close()
             return
+        if self.on_data is not None:
+            self.on_data()
         body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
@@ -373,6 +377,7 @@
         if not connection.open:
             connection.close()
             return
+        connection.on_data = None
         connection.was_used = True
         connection.idle_since_s = now_s
         self._idle.append(connection)
--- a/agaterelay/core/neighbours.py
+++ b/agaterelay/core/neighbours.py
@@ -18,6 +18,7 @@
 # readers do and notify the others.
 MAX_SMALL_ZONE_HOSTS = 8
 READER_COUNT = 2
+READER_KEY = "reader"
 # Linked upstreams of one version of a service: enough to spread load and to survive the
 # loss of a zone.
 NEAR_UPSTREAM_COUNT = 10
@@ -29,16 +30,22 @@
     """Return the hosts of an availability zone that watch the store for it.
 
     During frequent changes readers fetch whole documents several times a second and
-    forward them, so that hosts with the highest link bandwidth are preferred.
+    forward them, so that hosts with the highest link bandwidth are preferred. A host
+    whose upstreams all drain is about to stop, and is chosen only if no other is left.
 
     Args:
         members: The member records of the zone's reachable hosts.
     """
-    link_mbps = {member.host: member.link_mbps for member in members}
-    if len(link_mbps) <= MAX_SMALL_ZONE_HOSTS:
-        return tuple(link_mbps)
-    ranked = rank(list(link_mbps), "reader")
-    return tuple(sorted(ranked, key=lambda host: -link_mbps[host])[:READER_COUNT])
+    order = {member.host: (_leaves(member), -member.link_mbps) for member in members}
+    if len(order) <= MAX_SMALL_ZONE_HOSTS:
+        return tuple(order)
+    ranked = rank(list(order), READER_KEY)
+    return tuple(sorted(ranked, key=order.__getitem__)[:READER_COUNT])
+
+
+def _leaves(member: Member) -> bool:
+    upstreams = member.upstreams
+    return bool(upstreams) and all(item.draining for item in upstreams)
 
 
 def choose_linked_hosts(own: Member, members: Iterable[Member]) -> set[str]:
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -56,7 +56,11 @@
 )
 from agaterelay.mesh.request_state import Outbound, Request
 from agaterelay.mesh.state import MeshState, NodeContext, revision_of
-from agaterelay.mesh.store_watch import OperatorRowFormat, StoreWatch
+from agaterelay.mesh.store_watch import (
+    OperatorRowFormat,
+    StoreWatch,
+    record_receiving,
+)
 from agaterelay.platform import announcements, config, headers, orders, settings
 from agaterelay.platform.store import StoreClient
 from agaterelay.ports import Clock, Store
@@ -221,6 +225,7 @@
     await store.open()
     node = build_node(deployment, SystemClock(), store)
     store.count = node.meters.count_store_call
+    store.on_receiving = partial(record_receiving, node.watch)
     record_library_warnings(node.context.record)
 
     async def reload() -> None:
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -15,6 +15,7 @@
 import msgpack
 
 from agaterelay.core.catch_up import record_held_revision
+from agaterelay.core.feed_pacing import must_read_anew, transfer_s
 from agaterelay.events import EventKind
 from agaterelay.mesh.link import NEVER_S
 from agaterelay.mesh.links import refresh_links
@@ -28,6 +29,7 @@
     notify_standbys,
     reads_for_standbys,
     retry_delays_s,
+    stand_in_wait_s,
     update_readers,
 )
 from agaterelay.mesh.revisions import cache_document
@@ -186,13 +188,26 @@
     clock = watch.context.clock
     version: int | None = None
     retry_s = 0.0
+    needed_since_s: float | None = None
     while True:
         if not must_watch(watch):
+            needed_since_s = None
+            watch.followed.discard(table)
             await clock.sleep(STANDBY_CHECK_PERIOD_S)
             continue
+        if needed_since_s is None:
+            needed_since_s = clock.monotonic_s()
+        if (
+            table not in watch.followed
+            and clock.monotonic_s() - needed_since_s < stand_in_wait_s(watch)
+        ):
+            await clock.sleep(STANDBY_CHECK_PERIOD_S / 2)
+            continue
+        if version is not None and _is_left_behind(watch, table):
+            version = None
         wait_s = 0.0 if version is None else long_poll_s(watch, table)
         began_s = clock.monotonic_s()
-        watch.answer_due_s[table] = began_s + wait_s
+        watch.answer_due_s[table] = began_s + wait_s + watch.answer_time.answer_s
         try:
             if version is None:
                 changes = await watch.context.store.read_table(table)
@@ -214,8 +229,10 @@
         finally:
             del watch.answer_due_s[table]
         record_store_recovered(watch, table)
+        watch.followed.add(table)
         now_s = watch.answered_s[table] = clock.monotonic_s()
         watch.call_s[table] = now_s - began_s
+        _record_current(watch, table, changes)
         if version is None or not changes.rows:
             record_answer_time(watch, began_s, wait_s)
         retry_s = 0.0
@@ -229,6 +246,23 @@
             await clock.sleep(batch_delay_s)
 
 
+def _is_left_behind(watch: StoreWatch, table: str) -> bool:
+    """Return whether a feed would now bring many documents that are superseded."""
+    held = watch.state.table
+    if table != watch.formats.table or held is None:
+        return False
+    age_s = watch.context.clock.monotonic_s() - watch.current_s[table]
+    link_mbps = watch.context.deployment.link_mbps
+    return must_read_anew(age_s, transfer_s(len(held.source), link_mbps))
+
+
+def _record_current(watch: StoreWatch, table: str, changes: Changes) -> None:
+    """Record of when the state is that an answer has brought."""
+    size_bytes = sum(len(row.value) for row in changes.rows)
+    duration_s = transfer_s(size_bytes, watch.context.deployment.link_mbps)
+    watch.current_s[table] = watch.context.clock.monotonic_s() - duration_s
+
+
 def _remove_missing_members(watch: StoreWatch, changes: Changes) -> None:
     """Remove members whose rows were deleted while the store could not be read."""
     present = {row.key for row in changes.rows}
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -102,7 +102,8 @@
     links.chosen_s = links.context.clock.monotonic_s()
     state = links.state
     wanted = choose_linked_hosts(state.own, state.members.values())
-    wanted.update(host for host in state.readers if host in state.members)
+    relied_on = (*state.readers, *state.former_readers)
+    wanted.update(host for host in relied_on if host in state.members)
     if state.own.host in state.readers:
         wanted.update(
             host for host in state.other_zone_readers if host in state.members
--- a/agaterelay/mesh/readers.py
+++ b/agaterelay/mesh/readers.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Iterable
 
+from agaterelay.core.feed_pacing import feed_wait_s, stand_in_delay_s
 from agaterelay.core.membership import Member
-from agaterelay.core.neighbours import READER_COUNT, choose_readers
+from agaterelay.core.neighbours import READER_COUNT, READER_KEY, choose_readers
+from agaterelay.core.rendezvous import rank
 from agaterelay.events import EventKind
 from agaterelay.mesh.links import update_links
 from agaterelay.mesh.notifications import broadcast_to_zone, notify_hosts
@@ -66,14 +68,16 @@
 def reads_for_standbys(watch: StoreWatch) -> bool:
     """Return whether other nodes of the zone rely on this one's feeds."""
     state = watch.state
-    return state.has_standbys and state.own.host in state.readers
+    relied_on = (*state.readers, *state.former_readers)
+    return state.has_standbys and state.own.host in relied_on
 
 
 def long_poll_s(watch: StoreWatch, table: str) -> float:
     """Return how long a long poll of a table waits for a change, in seconds."""
     is_relied_on = table == watch.formats.table and reads_for_standbys(watch)
     bound_s = watch.context.deployment.bounds.config_apply_s
-    return READER_LONG_POLL_RATIO * bound_s if is_relied_on else IDLE_LONG_POLL_S
+    longest_s = READER_LONG_POLL_RATIO * bound_s if is_relied_on else IDLE_LONG_POLL_S
+    return feed_wait_s(watch.answer_time, longest_s)
 
 
 def update_readers(watch: StoreWatch) -> None:
@@ -89,6 +93,7 @@
     )
     state.has_standbys = len(readers) < len(hosts)
     changed = (readers, other_zone_readers) != (state.readers, state.other_zone_readers)
+    _update_former_readers(watch, readers)
     if changed:
         state.readers, state.other_zone_readers = readers, other_zone_readers
         update_links(watch.links)
@@ -102,6 +107,40 @@
         notify_standbys(watch, [], [])
 
 
+def _update_former_readers(watch: StoreWatch, readers: tuple[str, ...]) -> None:
+    """Keep relying on the readers so far that still watch, while new ones begin to.
+
+    Called before ``readers`` become the readers.
+    """
+    state = watch.state
+    state.former_readers = tuple(
+        host
+        for host in dict.fromkeys((*state.readers, *state.former_readers))
+        if host not in readers
+        and (state.watching if host == state.own.host else _claims(watch, host))
+    )
+
+
+def _claims(watch: StoreWatch, host: str) -> bool:
+    """Return whether a host has reported lately that it watches the store."""
+    link = watch.links.links.get(host)
+    now_s = watch.context.clock.monotonic_s()
+    return link is not None and now_s - link.watching_s < READER_CLAIM_VALID_S
+
+
+def stand_in_wait_s(watch: StoreWatch) -> float:
+    """Return how long this node leaves it to others to read in place of the readers."""
+    state = watch.state
+    if state.table is None or not state.has_standbys or reads_for_standbys(watch):
+        return 0.0
+    hosts = [
+        member.host
+        for member in all_members(state)
+        if member.zone == state.own.zone and member.host not in state.readers
+    ]
+    return stand_in_delay_s(rank(hosts, READER_KEY).index(state.own.host))
+
+
 def retry_delays_s(watch: StoreWatch) -> tuple[float, float]:
     """Return the first and the longest delay between attempts on a failing store."""
     state = watch.state
@@ -126,7 +165,8 @@
     overdue = any(
         now_s > due_s + ANSWER_MARGIN_S for due_s in watch.answer_due_s.values()
     )
-    return has_read_all(watch) and not overdue and not watch.lost
+    follows_all = watch.followed.issuperset(_tables(watch))
+    return follows_all and not overdue and not watch.lost
 
 
 def has_read_all(watch: StoreWatch) -> bool:
@@ -161,8 +201,8 @@
     now_s = watch.context.clock.monotonic_s()
     if now_s < watch.read_s + FIRST_CLAIM_WAIT_S:
         return False
-    links = watch.links.links
-    return not any(
-        host in links and now_s - links[host].watching_s < READER_CLAIM_VALID_S
-        for host in state.readers
-    )
+    relied_on = state.readers
+    # A former reader watches until a new one does, so it relies on no other former one.
+    if state.own.host not in state.former_readers:
+        relied_on += state.former_readers
+    return not any(_claims(watch, host) for host in relied_on)
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -37,7 +37,8 @@
     """The shared state of a deployed node.
 
     ``readers`` are the hosts of the own zone that watch the store, ``other_zone_readers``
-    some of the readers of other zones. ``has_standbys`` is whether the own zone has hosts
+    some of the readers of other zones. ``former_readers`` were readers before these, and
+    are relied on until the new ones watch. ``has_standbys`` is whether the own zone has hosts
     that rely on readers. ``news`` is set when this host's row has to be written.
     ``leaving_starts`` are the starts of instances that have said in an answer to this
     node that they leave, which keeps it from using one whose own node has forgotten that.
@@ -58,6 +59,7 @@
     fleet_known: bool = False  # written by the feeds
     watching: bool = False  # written by the feeds
     readers: tuple[str, ...] = ()  # written by the feeds
+    former_readers: tuple[str, ...] = ()  # written by the feeds
     other_zone_readers: tuple[str, ...] = ()  # written by the feeds
     has_standbys: bool = False  # written by the feeds
     tombstones: dict[str, tuple[int, int]] = attrs.field(factory=dict)
--- a/agaterelay/mesh/store_watch.py
+++ b/agaterelay/mesh/store_watch.py
@@ -40,10 +40,11 @@
     ``own_row_version`` is the version of this host's row as last read, and
     ``own_row_value`` its content as last written. ``member_versions`` are the versions of
     the other hosts' rows. ``lost`` names the tables and tasks whose last call the store
-    did not answer. For each table, ``answered_s`` is when the store last answered,
-    ``answer_due_s`` when its answer to the open call is due, on the steady clock, and
-    ``call_s`` how long the call took that was answered last. ``answer_time`` is what
-    these calls say of the store.
+    did not answer, and ``followed`` the tables whose feeds this node follows now. For
+    each table, ``answered_s`` is when the store last answered, ``answer_due_s`` when its
+    answer to the open call is due, and ``current_s`` of when the state is that was read,
+    all on the steady clock. ``call_s`` is how long the call took that was answered last,
+    and ``answer_time`` what these calls say of the store.
     ``read_s`` is when both tables had been read for the first time.
     """
 
@@ -55,8 +56,10 @@
     own_row_value: bytes | None = None
     member_versions: dict[str, int] = attrs.field(factory=dict)
     lost: set[str] = attrs.field(factory=set)
+    followed: set[str] = attrs.field(factory=set)
     answered_s: dict[str, float] = attrs.field(factory=dict)
     answer_due_s: dict[str, float] = attrs.field(factory=dict)
+    current_s: dict[str, float] = attrs.field(factory=dict)
     call_s: dict[str, float] = attrs.field(factory=dict)
     answer_time: AnswerTime = attrs.field(factory=AnswerTime)
     read_s: float = NEVER_S
@@ -64,6 +67,7 @@
 
 def record_store_lost(watch: StoreWatch, table: str, reason: str) -> None:
     """Record that the store did not answer; log it if it answered before."""
+    watch.followed.discard(table)
     if table not in watch.lost:
         watch.lost.add(table)
         watch.context.record(EventKind.PLATFORM_LOST, table=table, reason=reason)
@@ -93,3 +97,9 @@
             answer_ms=round(watch.answer_time.answer_s * 1000),
             slow=watch.answer_time.is_slow,
         )
+
+
+def record_receiving(watch: StoreWatch, table: str) -> None:
+    """Record that a part of the answer to a table's open call has arrived."""
+    if table in watch.answer_due_s:
+        watch.answer_due_s[table] = watch.context.clock.monotonic_s()
--- a/agaterelay/platform/store.py
+++ b/agaterelay/platform/store.py
@@ -25,8 +25,10 @@
     StoredRow,
 )
 
-# A healthy store responds within 10 ms, so waiting longer than this does not help.
+# A healthy store responds within 10 ms, so waiting longer than this does not help. An
+# answer that arrives may take longer, since a large row fills a narrow link for seconds.
 REQUEST_TIMEOUT_S = 1.5
+MAX_TRANSFER_S = 10.0
 # How much longer than the requested wait a long-polling call may take.
 LONG_POLL_MARGIN_S = 1.2
 # The kernel closes a connection whose sent data is not acknowledged for this long.
@@ -65,6 +67,8 @@
         self._pool: HttpPool | None = None
         # Called for every request with its path and its status or exception type.
         self.count: Callable[[str, str], None] = lambda call, result: None
+        # Called with the table of a read when a part of the answer has arrived.
+        self.on_receiving: Callable[[str], None] = lambda table: None
 
     async def open(self) -> None:
         """Prepare the pool without connecting."""
@@ -95,9 +99,20 @@
         if body:
             headers.append((b"Content-Type", b"application/json"))
         head = render_head(method, target, tuple(headers), body)
+        loop = asyncio.get_running_loop()
+        last_s = loop.time() + timeout_s + MAX_TRANSFER_S
+        table = (params or {}).get("table", "")
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await self._send(method, head, body)
+            async with asyncio.timeout(timeout_s) as timeout:
+
+                def extend() -> None:
+                    if timeout.expired():
+                        return
+                    due_s = max(timeout.when(), loop.time() + REQUEST_TIMEOUT_S)
+                    timeout.reschedule(min(due_s, last_s))
+                    self.on_receiving(table)
+
+                response = await self._send(method, head, body, extend)
         except (NotSentError, AnswerLostError, TimeoutError) as error:
             self.count(path, type(error).__name__)
             raise PlatformError(f"{path}: {type(error).__name__} {error}") from error
@@ -111,7 +126,9 @@
                 return 410, {}
             raise PlatformError(f"{path}: the response is not JSON") from error
 
-    async def _send(self, method: str, head: bytes, body: bytes) -> ReceivedResponse:
+    async def _send(
+        self, method: str, head: bytes, body: bytes, on_data: Callable[[], None]
+    ) -> ReceivedResponse:
         """Send a request and return its response.
 
         A read is sent again on a new connection if the store closed a kept one meanwhile.
@@ -119,6 +136,7 @@
         now_s = asyncio.get_running_loop().time
         while True:
             connection = await self._pool.acquire(now_s())
+            connection.on_data = on_data
             try:
                 response = await connection.send(head, body, b"", False)
             except (NotSentError, AnswerLostError):
