--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -33,6 +33,7 @@
     LINK_UP = (304, "A link to another node was established.")
     LINK_LOST = (305, "A link to another node was lost or timed out.")
     MEMBER_REMOVED = (306, "The store row of a host that is gone was removed.")
+    FRAME_REFUSED = (307, "A message of another node could not be read; it is ignored.")
     UPSTREAM_ANNOUNCED = (310, "An upstream announced itself to its host's node.")
     UPSTREAM_WITHDRAWN = (311, "An upstream withdrew or its heartbeat timed out.")
     UPSTREAM_DRAINING = (312, "An upstream accepts no new calls.")
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -12,9 +12,8 @@
 import random
 from collections.abc import Callable
 
-import msgpack
-
 from agaterelay.core.catch_up import record_held_revision
+from agaterelay.core.checked import MALFORMED, DecodeError
 from agaterelay.core.feed_pacing import must_read_anew, transfer_s
 from agaterelay.events import EventKind
 from agaterelay.mesh.link import NEVER_S
@@ -49,7 +48,7 @@
     record_store_lost,
     record_store_recovered,
 )
-from agaterelay.mesh.wire import decode_member, decode_move
+from agaterelay.mesh.wire import decode_member, decode_move, load_row
 from agaterelay.ports import Changes, HistoryLostError, PlatformError, StoredRow
 
 STANDBY_CHECK_PERIOD_S = 0.2
@@ -116,7 +115,7 @@
 def _apply_fleet_row(watch: StoreWatch, row: StoredRow) -> None:
     now_s = watch.context.clock.monotonic_s()
     if row.key.startswith(MOVE_PREFIX) and not row.deleted:
-        record = decode_move(msgpack.unpackb(row.value))
+        record = decode_move(load_row(row.value))
         if apply_move(watch.state, record, now_s, stored=True):
             log_move(watch.context, record, "store")
             broadcast_revision(watch)
@@ -137,7 +136,9 @@
         refresh_links(watch.links)
         return
     watch.member_versions[host] = row.version
-    member = decode_member(msgpack.unpackb(row.value))
+    member = decode_member(load_row(row.value))
+    if member.host != host:
+        raise DecodeError(f"names the host {member.host}")
     if apply_member(watch.state, member):
         watch.context.record(
             EventKind.MEMBER_CHANGED,
@@ -163,7 +164,7 @@
     for row in {row.key: row for row in changes.rows}.values():
         try:
             apply_row(watch, row)
-        except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+        except MALFORMED as error:
             watch.context.record(
                 EventKind.REVISION_REFUSED,
                 reason=f"row {row.table}/{row.key}: {type(error).__name__}: {error}",
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -75,6 +75,7 @@
         chosen_s: When the links were last chosen.
         running: The tasks of other nodes' calls, by connection and number.
         accepted: The connections that other nodes have dialled.
+        refused: The host and kind of messages that could not be read.
         own_load: The load of this host's own upstream.
         members_requested_s: When members were last requested because views differ.
         views_differ_since_s: Since when some view differs, None if none does.
@@ -94,6 +95,7 @@
     )
     next_number: int = 0
     accepted: set[FrameConnection] = attrs.field(factory=set)
+    refused: set[tuple[str, str]] = attrs.field(factory=set)
     own_load: TargetLoad = attrs.field(factory=TargetLoad)
     server: asyncio.Server | None = None
     catch_up: CatchUp[FrameConnection] = attrs.field(factory=CatchUp)
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -12,13 +12,22 @@
 
 import asyncio
 import random
+import zlib
+from collections.abc import Callable
 from typing import Any
 
 from agaterelay.adapters.frames import Frame, FrameConnection
 from agaterelay.core.call import Call
+from agaterelay.core.checked import (
+    MALFORMED,
+    DecodeError,
+    check_flag,
+    check_number,
+    check_whole,
+)
 from agaterelay.core.membership import Member
 from agaterelay.core.neighbours import choose_linked_hosts
-from agaterelay.core.outcome import Unknown
+from agaterelay.core.outcome import NotRun, Unknown
 from agaterelay.core.placing import TargetLoad, record_load_report
 from agaterelay.core.trial import RouteTallies
 from agaterelay.events import EventKind
@@ -28,6 +37,7 @@
     handle_hello,
     handle_news,
     merge_members,
+    record_refused_frame,
     record_watching,
     send_hello,
 )
@@ -60,6 +70,9 @@
 PONG_TIMEOUT_S = 0.6
 LINK_CHECK_PERIOD_S = 0.1
 TALLIES_TIMEOUT_S = 0.5
+# Another node may be able to read what this one cannot.
+UNREADABLE_RETRY_S = 0.1
+MAX_KIND_LENGTH = 20
 # The frames that carry membership and revision notifications.
 MEMBERSHIP_FRAMES = (Frame.HELLO, Frame.NEWS, Frame.WANT_MEMBERS, Frame.MEMBERS)
 
@@ -73,7 +86,12 @@
     host, port = links.context.deployment.link_address.rsplit(":", 1)
     links.server = await asyncio.get_running_loop().create_server(
         lambda: FrameConnection(
-            lambda connection, frame: _handle_frame(links, connection, frame),
+            lambda connection, frame: _ignore_odd(
+                links,
+                connection.host,
+                frame,
+                lambda frame: _handle_frame(links, connection, frame),
+            ),
             lambda connection, reason: _handle_accepted_loss(links, connection),
             lambda connection: _handle_accepted(links, connection),
         ),
@@ -143,7 +161,12 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     lambda handle_loss=handle_loss: FrameConnection(
-                        lambda connection, frame: _handle_reply(links, link, frame),
+                        lambda connection, frame: _ignore_odd(
+                            links,
+                            link.host,
+                            frame,
+                            lambda frame: _handle_reply(links, link, frame),
+                        ),
                         handle_loss,
                     ),
                     host,
@@ -184,6 +207,17 @@
     link.watching_s = NEVER_S
 
 
+def _ignore_odd(
+    links: Links, host: str, frame: Any, handle: Callable[[list[Any]], None]
+) -> None:
+    """Handle a frame, or log that it cannot be read and go on with the next one."""
+    try:
+        handle(frame)
+    except (*MALFORMED, zlib.error) as error:
+        kind = frame[0] if isinstance(frame, list) and frame else ""
+        record_refused_frame(links, host, repr(kind)[:MAX_KIND_LENGTH], error)
+
+
 def _handle_frame(links: Links, connection: FrameConnection, frame: list[Any]) -> None:
     """Handle a frame on a connection that another node has dialled."""
     kind = frame[0]
@@ -203,11 +237,11 @@
             task.cancel()
     elif kind == Frame.PING:
         connection.send([Frame.PONG, revision_of(links.state), links.state.watching])
-        handle_revision(links, connection, frame[1])
+        handle_revision(links, connection, check_whole(frame[1]))
     elif kind in MEMBERSHIP_FRAMES:
         _handle_membership_frame(links, connection, frame)
     elif kind == Frame.ASK_TALLIES:
-        since_s = links.context.clock.monotonic_s() - frame[2]
+        since_s = links.context.clock.monotonic_s() - check_number(frame[2])
         tallies = tallies_since(links.inbound, since_s)
         connection.send([Frame.TALLIES, frame[1], encode_tallies(tallies)])
     else:
@@ -248,8 +282,14 @@
 async def _serve_call(
     links: Links, connection: FrameConnection, number: int, encoded: list[Any]
 ) -> None:
-    call = decode_call(encoded, links.context.clock.monotonic_s())
-    result = await run_call(links.inbound, call)
+    try:
+        call = decode_call(encoded, links.context.clock.monotonic_s())
+    except DecodeError as error:
+        record_refused_frame(links, connection.host, "call", error)
+        outcome = NotRun("the call cannot be read", UNREADABLE_RETRY_S)
+        result = CallResult(outcome, False, report_load(links.inbound))
+    else:
+        result = await run_call(links.inbound, call)
     connection.send(
         [Frame.RESULT, number, encode_result(result), revision_of(links.state)]
     )
@@ -266,18 +306,24 @@
     kind = frame[0]
     if kind == Frame.RESULT:
         future = link.pending.pop(frame[1], None)
-        result = decode_result(frame[2])
+        try:
+            result = decode_result(frame[2])
+        except DecodeError as error:
+            if future is not None and not future.done():
+                future.set_exception(ConnectionError(f"unreadable result: {error}"))
+            raise
         if future is not None and not future.done():
             future.set_result(result)
         record_load_report(link.load, result.report, now_s)
         handle_revision(links, link.connection, frame[3])
     elif kind == Frame.PONG:
-        record_watching(links, link.host, frame[2])
-        handle_revision(links, link.connection, frame[1])
+        record_watching(links, link.host, check_flag(frame[2]))
+        handle_revision(links, link.connection, check_whole(frame[1]))
     elif kind == Frame.TALLIES:
+        tallies = decode_tallies(frame[2])
         future = link.pending.pop(frame[1], None)
         if future is not None and not future.done():
-            future.set_result(decode_tallies(frame[2]))
+            future.set_result(tallies)
     elif kind in MEMBERSHIP_FRAMES:
         _handle_membership_frame(links, link.connection, frame)
     else:
--- a/agaterelay/mesh/member_rows.py
+++ b/agaterelay/mesh/member_rows.py
@@ -9,6 +9,7 @@
 import attrs
 import msgpack
 
+from agaterelay.core.checked import DecodeError
 from agaterelay.core.rendezvous import rank
 from agaterelay.events import EventKind
 from agaterelay.mesh.notifications import broadcast_own_member
@@ -22,7 +23,7 @@
     record_store_lost,
     record_store_recovered,
 )
-from agaterelay.mesh.wire import decode_member, encode_member
+from agaterelay.mesh.wire import decode_member, encode_member, load_row
 from agaterelay.ports import PlatformError, StoredRow
 
 # A host that its link has not reached for this long is considered gone.
@@ -43,11 +44,16 @@
     if row.deleted:
         republish_own_row(watch)
     elif row.value != watch.own_row_value:
-        previous = decode_member(msgpack.unpackb(row.value))
+        watch.own_row_value = None
+        try:
+            previous = decode_member(load_row(row.value))
+        except DecodeError:
+            # Another writer's; this host's record replaces it.
+            watch.state.news.set()
+            raise
         own = watch.state.own
         if previous.pair > own.pair:
             watch.state.own = attrs.evolve(own, incarnation=previous.incarnation + 1)
-        watch.own_row_value = None
     if watch.own_row_value is None:
         watch.state.news.set()
 
@@ -130,7 +136,8 @@
         watch.own_row_value = value
         return True
     if stored is not None and stored.value:
-        apply_own_row(watch, stored)
+        with suppress(DecodeError):
+            apply_own_row(watch, stored)
     return False
 
 
--- a/agaterelay/mesh/mover.py
+++ b/agaterelay/mesh/mover.py
@@ -15,6 +15,7 @@
 import attrs
 import msgpack
 
+from agaterelay.core.checked import DecodeError
 from agaterelay.core.model import MoveState
 from agaterelay.core.rendezvous import rank
 from agaterelay.core.trial import (
@@ -37,7 +38,7 @@
     versions_of,
 )
 from agaterelay.mesh.store_watch import FLEET_TABLE, MOVE_PREFIX
-from agaterelay.mesh.wire import decode_move, encode_move
+from agaterelay.mesh.wire import decode_move, encode_move, load_row
 from agaterelay.ports import PlatformError, StoredRow
 
 STEP_PERIOD_S = 0.4
@@ -222,8 +223,8 @@
         if row.table != FLEET_TABLE or row.deleted or not row.value:
             continue
         try:
-            stored_record = decode_move(msgpack.unpackb(row.value))
-        except (ValueError, msgpack.UnpackException) as error:
+            stored_record = decode_move(load_row(row.value))
+        except DecodeError as error:
             mover.context.record(
                 EventKind.MOVE_SUPERSEDED, service=record.service, reason=str(error)
             )
--- a/agaterelay/mesh/notifications.py
+++ b/agaterelay/mesh/notifications.py
@@ -8,12 +8,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, TypeVar
 
 import attrs
 
 from agaterelay.adapters.frames import Frame, FrameConnection
+from agaterelay.core.checked import DecodeError, check_address, check_flag, check_whole
 from agaterelay.core.membership import Member
 from agaterelay.core.trial import MoveRecord, Order
 from agaterelay.events import EventKind
@@ -34,11 +35,17 @@
     decode_member,
     decode_move,
     decode_order,
+    decode_removed,
     encode_member,
     encode_move,
     encode_order,
 )
 
+# Limits the log lines on frames that can't be read, which another version may send often.
+MAX_LOGGED_REFUSALS = 64
+
+Decoded = TypeVar("Decoded")
+
 
 def send_hello(links: Links, connection: FrameConnection) -> None:
     """Send this host's member record and the fingerprint and size of its view."""
@@ -115,27 +122,38 @@
 def handle_news(links: Links, connection: FrameConnection, frame: list[Any]) -> bool:
     """Apply another node's changes; return whether the members have changed."""
     _, host, revision, members, moves, orders, removed, watching = frame[:8]
+    host, revision = check_address(host), check_whole(revision)
     connection.host = host
-    record_watching(links, host, watching)
+    record_watching(links, host, check_flag(watching))
     changed = merge_members(links, members)
-    for removed_host, incarnation, sequence in removed:
+    for removed_host, pair in _decode_each(links, host, removed, decode_removed):
         if removed_host == links.state.own.host:
             links.state.own_row_lost = True
             links.state.news.set()
         else:
-            changed |= remove_member(links.state, removed_host, (incarnation, sequence))
-    for encoded in orders:
-        if apply_order(links.state, decode_order(encoded)):
-            log_order(links.context, decode_order(encoded), f"link {host}")
+            changed |= remove_member(links.state, removed_host, pair)
+    for order in _decode_each(links, host, orders, decode_order):
+        if apply_order(links.state, order):
+            log_order(links.context, order, f"link {host}")
     now_s = links.context.clock.monotonic_s()
-    for encoded in moves:
-        record = decode_move(encoded)
+    for record in _decode_each(links, host, moves, decode_move):
         if apply_move(links.state, record, now_s):
             log_move(links.context, record, f"link {host}")
     handle_revision(links, connection, revision)
     return changed
 
 
+def _decode_each(
+    links: Links, host: str, encoded: list[Any], decode: Callable[[Any], Decoded]
+) -> Iterator[Decoded]:
+    """Decode the entries that another node sent, and leave out those that are odd."""
+    for item in encoded:
+        try:
+            yield decode(item)
+        except DecodeError as error:
+            record_refused_frame(links, host, decode.__name__, error)
+
+
 def handle_hello(links: Links, connection: FrameConnection, frame: list[Any]) -> bool:
     """Handle the first frame of a node; return whether the members have changed."""
     changed = handle_news(links, connection, frame)
@@ -148,8 +166,7 @@
     state = links.state
     state.fleet_known |= len(members) > 1
     changed = False
-    for encoded in members:
-        member = decode_member(encoded)
+    for member in _decode_each(links, "", members, decode_member):
         if member.host == state.own.host:
             _supersede_later_incarnation(links, member)
         changed |= apply_member(state, member)
@@ -195,3 +212,16 @@
     if link is not None:
         now_s = links.context.clock.monotonic_s()
         link.watching_s = now_s if watching else NEVER_S
+
+
+def record_refused_frame(links: Links, host: str, kind: str, error: Exception) -> None:
+    """Log that a message of a kind from a host cannot be read; once for each."""
+    if (host, kind) in links.refused or len(links.refused) >= MAX_LOGGED_REFUSALS:
+        return
+    links.refused.add((host, kind))
+    links.context.record(
+        EventKind.FRAME_REFUSED,
+        peer=host,
+        message=kind,
+        reason=f"{type(error).__name__}: {error}",
+    )
--- a/agaterelay/mesh/revisions.py
+++ b/agaterelay/mesh/revisions.py
@@ -10,8 +10,9 @@
 import zlib
 from typing import Any
 
-from agaterelay.adapters.frames import Frame, FrameConnection
+from agaterelay.adapters.frames import MAX_FRAME_BYTES, Frame, FrameConnection
 from agaterelay.core.catch_up import choose_source, observe_revision, remove_source
+from agaterelay.core.checked import MALFORMED
 from agaterelay.core.delta import DeltaError, diff, patch
 from agaterelay.core.model import RouteTable
 from agaterelay.events import EventKind
@@ -84,13 +85,14 @@
         if links.state.table is not None:
             connection.send(_table_frame(links, links.state.table, frame[1]))
     elif frame[0] == Frame.TABLE:
-        links.apply_document(zlib.decompress(frame[1]))
+        unpacker = zlib.decompressobj()
+        links.apply_document(unpacker.decompress(frame[1], MAX_FRAME_BYTES))
     elif frame[0] == Frame.TABLE_DELTA:
-        _, base_revision, steps, checksum = frame
-        base = links.documents.sources.get(base_revision, b"")
         try:
+            _, base_revision, steps, checksum = frame
+            base = links.documents.sources.get(base_revision, b"")
             document = patch(base, steps, checksum)
-        except DeltaError:
+        except (DeltaError, *MALFORMED):
             connection.send([Frame.WANT_TABLE, NO_REVISION])
         else:
             links.apply_document(document)
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -5,8 +5,18 @@
 from typing import Any
 
 import attrs
+import msgpack
 
 from agaterelay.core.call import Call
+from agaterelay.core.checked import (
+    DecodeError,
+    check_address,
+    check_flag,
+    check_number,
+    check_text,
+    check_whole,
+    raises_decode_error,
+)
 from agaterelay.core.evidence import Tally
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
 from agaterelay.core.model import MoveState
@@ -20,6 +30,19 @@
 _FIRST_REPORT_FIELDS = 4
 
 
+@raises_decode_error
+def load_row(value: bytes) -> Any:
+    """Return what a row of the fleet's table holds.
+
+    Raises:
+        DecodeError: The value is not MessagePack, or nested too deeply.
+    """
+    try:
+        return msgpack.unpackb(value)
+    except msgpack.UnpackException as error:
+        raise DecodeError(type(error).__name__) from error
+
+
 def encode_call(call: Call, now_s: float) -> list[Any]:
     """Encode a call; its deadline and target are sent as remaining milliseconds."""
     return [
@@ -41,24 +64,29 @@
     ]
 
 
+@raises_decode_error
 def decode_call(encoded: list[Any], now_s: float) -> Call:
-    """Decode a call; its deadline and target are on this node's monotonic clock."""
+    """Decode a call; its deadline and target are on this node's monotonic clock.
+
+    Raises:
+        DecodeError: The message is not a call.
+    """
     return Call(
-        call_id=encoded[0],
-        method=encoded[1],
-        path=encoded[2],
+        call_id=check_text(encoded[0]),
+        method=check_text(encoded[1]),
+        path=check_text(encoded[2]),
         headers=tuple((name, value) for name, value in encoded[3]),
         body=encoded[4],
-        route=encoded[5],
-        service=encoded[6],
-        version=encoded[7],
-        instance=encoded[8],
-        caller_service=encoded[9],
-        idempotent=encoded[10],
-        rank=encoded[11],
-        deadline_s=now_s + encoded[12] / 1000,
-        target_s=now_s + encoded[13] / 1000,
-        is_retry=encoded[14],
+        route=check_text(encoded[5]),
+        service=check_text(encoded[6]),
+        version=check_text(encoded[7]),
+        instance=check_text(encoded[8]),
+        caller_service=check_text(encoded[9]),
+        idempotent=check_flag(encoded[10]),
+        rank=check_whole(encoded[11]),
+        deadline_s=now_s + check_number(encoded[12]) / 1000,
+        target_s=now_s + check_number(encoded[13]) / 1000,
+        is_retry=check_flag(encoded[14]),
     )
 
 
@@ -78,15 +106,20 @@
     ]
 
 
+@raises_decode_error
 def decode_result(encoded: list[Any]) -> CallResult:
-    """Decode the result of a call."""
+    """Decode the result of a call.
+
+    Raises:
+        DecodeError: The message is not a result.
+    """
     outcome, reached_upstream, report, service_ms, *rest = encoded
     later_report, leaving = rest[:2] if rest else ((), False)
     return CallResult(
         outcome=_decode_outcome(outcome),
         reached_upstream=reached_upstream,
-        report=LoadReport(*report, *later_report),
-        service_ms=service_ms,
+        report=LoadReport(*map(check_number, (*report, *later_report))),
+        service_ms=check_number(service_ms),
         leaving=leaving,
     )
 
@@ -103,10 +136,10 @@
     kind = encoded[0]
     if kind == _ANSWERED:
         headers = tuple((name, value) for name, value in encoded[2])
-        return Answered(encoded[1], headers, encoded[3])
+        return Answered(check_whole(encoded[1]), headers, encoded[3])
     if kind == _NOT_RUN:
-        return NotRun(encoded[1], encoded[2])
-    return Unknown(encoded[1], encoded[2], encoded[3])
+        return NotRun(check_text(encoded[1]), check_number(encoded[2]))
+    return Unknown(check_text(encoded[1]), encoded[2], encoded[3])
 
 
 def encode_member(member: Member) -> list[Any]:
@@ -122,25 +155,38 @@
     ]
 
 
+@raises_decode_error
 def decode_member(encoded: list[Any]) -> Member:
     """Decode a member record.
 
     Raises:
-        ValueError: The message is not a member record.
+        DecodeError: The message is not a member record.
     """
-    try:
-        host, zone, incarnation, sequence, state, upstreams, *rest = encoded
-        return Member(
-            host=str(host),
-            zone=str(zone),
-            incarnation=int(incarnation),
-            sequence=int(sequence),
-            state=MemberState(state),
-            upstreams=tuple(UpstreamInfo(*item) for item in upstreams),
-            link_mbps=int(rest[0]) if rest else 0,
-        )
-    except TypeError as error:
-        raise ValueError(f"not a member record: {error}") from error
+    host, zone, incarnation, sequence, state, upstreams, *rest = encoded
+    return Member(
+        host=check_address(host),
+        zone=check_text(zone),
+        incarnation=check_whole(incarnation),
+        sequence=check_whole(sequence),
+        state=MemberState(check_whole(state)),
+        upstreams=tuple(_decode_upstream(item) for item in upstreams),
+        link_mbps=check_whole(rest[0]) if rest else 0,
+    )
+
+
+def _decode_upstream(encoded: list[Any]) -> UpstreamInfo:
+    service, version, upstream_address, slots, connections, draining, *rest = encoded
+    instance, born_ms = rest[:2] if rest else ("", 0)
+    return UpstreamInfo(
+        service=check_text(service),
+        version=check_text(version),
+        address=check_address(upstream_address),
+        slots=check_whole(slots),
+        connections=check_whole(connections),
+        draining=check_flag(draining),
+        instance=check_text(instance),
+        born_ms=check_whole(born_ms),
+    )
 
 
 def encode_move(record: MoveRecord) -> list[Any]:
@@ -154,17 +200,21 @@
     ]
 
 
+@raises_decode_error
 def decode_move(encoded: list[Any]) -> MoveRecord:
     """Decode the state of a move.
 
     Raises:
-        ValueError: The message is not the state of a move.
+        DecodeError: The message is not the state of a move.
     """
-    try:
-        service, to_version, number, state, reason = encoded
-        return MoveRecord(service, to_version, int(number), MoveState(state), reason)
-    except TypeError as error:
-        raise ValueError(f"not the state of a move: {error}") from error
+    service, to_version, order_number, state, reason = encoded
+    return MoveRecord(
+        check_text(service),
+        check_text(to_version),
+        check_whole(order_number),
+        MoveState(state),
+        check_text(reason),
+    )
 
 
 def encode_order(order: Order) -> list[Any]:
@@ -172,16 +222,20 @@
     return [order.service, order.to_version, order.duration_s, order.number]
 
 
+@raises_decode_error
 def decode_order(encoded: list[Any]) -> Order:
     """Decode an operator's order of a move.
 
     Raises:
-        ValueError: The message is not an order.
+        DecodeError: The message is not an order.
     """
-    try:
-        return Order(*encoded)
-    except TypeError as error:
-        raise ValueError(f"not an order: {error}") from error
+    service, to_version, duration_s, order_number = encoded
+    return Order(
+        check_text(service),
+        check_text(to_version),
+        check_number(duration_s),
+        check_whole(order_number),
+    )
 
 
 def encode_tallies(tallies: RouteTallies) -> dict[str, list[Any]]:
@@ -192,9 +246,29 @@
     }
 
 
+@raises_decode_error
 def decode_tallies(encoded: dict[str, list[Any]]) -> RouteTallies:
-    """Decode tallies by route."""
+    """Decode tallies by route.
+
+    Raises:
+        DecodeError: The message is not a table of tallies.
+    """
     return {
-        route: Tally(calls, failures, tuple(buckets))
+        check_text(route): Tally(
+            check_whole(calls),
+            check_whole(failures),
+            tuple(check_whole(count) for count in buckets),
+        )
         for route, (calls, failures, buckets) in encoded.items()
     }
+
+
+@raises_decode_error
+def decode_removed(encoded: list[Any]) -> tuple[str, tuple[int, int]]:
+    """Decode a removed host with the last incarnation and sequence of its record.
+
+    Raises:
+        DecodeError: The message does not name a removed host.
+    """
+    host, incarnation, sequence = encoded
+    return check_address(host), (check_whole(incarnation), check_whole(sequence))
--- a/agaterelay/platform/announcements.py
+++ b/agaterelay/platform/announcements.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from agaterelay.core.announcement import Announcement
+from agaterelay.core.checked import DecodeError, check_whole, load_json
 from agaterelay.platform.units import parse_seconds
 
 PATH_PREFIX = "/v1/instances/"
@@ -22,8 +22,8 @@
         body: The JSON body of the request.
     """
     try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError):
+        fields = load_json(body)
+    except DecodeError:
         return "not JSON"
     if not isinstance(fields, dict):
         return "not an object"
@@ -32,7 +32,7 @@
     for name in ("service", "address", "zone", "version"):
         if not isinstance(fields.get(name), str) or not fields[name]:
             return f"{name} is no text"
-    if fields.get("state") not in _STATES:
+    if not isinstance(fields.get("state"), str) or fields["state"] not in _STATES:
         return "unknown state"
     for name in ("concurrency", "sequence"):
         if not _is_non_negative_int(fields.get(name)):
@@ -62,12 +62,15 @@
 def decode_born_ms(body: bytes) -> int | None:
     """Return the start time of the withdrawn upstream, or None if it is not stated."""
     try:
-        fields = json.loads(body) if body else {}
-    except (ValueError, RecursionError):
+        fields = load_json(body) if body else {}
+    except DecodeError:
         return None
     born = fields.get("born") if isinstance(fields, dict) else None
     return born if _is_non_negative_int(born) else None
 
 
 def _is_non_negative_int(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+    try:
+        return check_whole(value) >= 0
+    except DecodeError:
+        return False
--- a/agaterelay/platform/config.py
+++ b/agaterelay/platform/config.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Hashable, Mapping, Sequence
 from typing import Any
 
 import attrs
 
+from agaterelay.core.checked import (
+    MALFORMED,
+    MAX_WHOLE,
+    check_text,
+    check_whole,
+    load_json,
+)
 from agaterelay.core.model import CallerLimits, Finding, Place, Route, RouteTable
 from agaterelay.platform.units import parse_seconds
 
@@ -19,8 +25,6 @@
 DEFAULT_RANK = 1
 DEFAULT_MAX_ATTEMPTS = 1
 _ALL_METHODS = ()
-# Exceptions that decoding raises on a document that violates the published schema.
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
 @attrs.define
@@ -52,13 +56,13 @@
         findings.append(Finding(Place(filename), reason, section))
 
     try:
-        tree = json.loads(value)
-        revision = int(tree["version"], 16)
+        tree = load_json(value)
+        revision = check_whole(int(tree["version"], 16))
         limits = _decode_limits(tree.get("limits") or {})
         columns = tuple(tree["routes"]["columns"])
         route_rows = list(tree["routes"]["rows"])
         service_rows = _records(tree["services"])
-    except _MALFORMED as error:
+    except MALFORMED as error:
         add_finding("", error)
         return None, tuple(findings)
     routes: list[Route] = []
@@ -69,7 +73,7 @@
         try:
             key = _row_key(row)
             route = previous.get(key) or _decode_route(_record(columns, row), place)
-        except _MALFORMED as error:
+        except MALFORMED as error:
             add_finding(f"routes, row {number}", error)
         else:
             routes.append(route)
@@ -77,8 +81,10 @@
     health_paths: dict[str, str] = {}
     for number, row in enumerate(service_rows, 1):
         try:
-            health_paths[str(row["name"])] = str(row.get("healthPath") or "/")
-        except _MALFORMED as error:
+            health_paths[check_text(row["name"])] = check_text(
+                row.get("healthPath") or "/"
+            )
+        except MALFORMED as error:
             add_finding(f"services, row {number}", error)
     if findings:
         return None, tuple(findings)
@@ -125,8 +131,10 @@
 def _decode_limits(fields: Mapping[str, Any]) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        max_header_bytes=int(fields.get("maxHeaderBytes", defaults.max_header_bytes)),
-        max_body_bytes=int(fields.get("maxBodyBytes", defaults.max_body_bytes)),
+        max_header_bytes=check_whole(
+            fields.get("maxHeaderBytes", defaults.max_header_bytes)
+        ),
+        max_body_bytes=check_whole(fields.get("maxBodyBytes", defaults.max_body_bytes)),
         header_timeout_s=_seconds(fields, "headerTimeout", defaults.header_timeout_s),
         idle_timeout_s=_seconds(fields, "idleTimeout", defaults.idle_timeout_s),
     )
@@ -138,21 +146,21 @@
 
 def _decode_route(fields: Mapping[str, Any], place: Place) -> Route:
     parts = tuple(
-        (str(part["service"]), int(part["weight"]))
+        (check_text(part["service"]), check_whole(part["weight"], -MAX_WHOLE))
         for part in fields.get("weightedClusters") or ()
     )
     return Route(
-        name=str(fields["name"]),
-        host=str(fields["host"]),
-        path=str(fields["prefix"]),
-        service=str(fields.get("service") or ""),
+        name=check_text(fields["name"]),
+        host=check_text(fields["host"]),
+        path=check_text(fields["prefix"]),
+        service=check_text(fields.get("service") or ""),
         place=place,
         methods=_ALL_METHODS,
         idempotent=fields.get("kind") == "idempotent",
         timeout_ms=round(1000 * _seconds(fields, "timeout", DEFAULT_TIMEOUT_S)),
         parts=parts,
-        rank=int(fields.get("priority", DEFAULT_RANK)),
-        max_attempts=int(fields.get("maxAttempts", DEFAULT_MAX_ATTEMPTS)),
+        rank=check_whole(fields.get("priority", DEFAULT_RANK)),
+        max_attempts=check_whole(fields.get("maxAttempts", DEFAULT_MAX_ATTEMPTS)),
         target_latency_ms=round(
             1000 * _seconds(fields, "targetLatency", DEFAULT_TARGET_LATENCY_S)
         ),
--- a/agaterelay/platform/orders.py
+++ b/agaterelay/platform/orders.py
@@ -4,6 +4,7 @@
 
 import json
 
+from agaterelay.core.checked import MALFORMED, check_text, load_json
 from agaterelay.core.model import MoveState
 from agaterelay.core.trial import Order
 from agaterelay.platform.units import parse_seconds
@@ -20,14 +21,14 @@
     if row.deleted or not row.key.startswith(ORDER_PREFIX):
         return None
     try:
-        fields = json.loads(row.value)
+        fields = load_json(row.value)
         return Order(
-            service=str(fields["service"]),
-            to_version=str(fields["to"]),
+            service=check_text(fields["service"]),
+            to_version=check_text(fields["to"]),
             duration_s=parse_seconds(fields["duration"]),
             number=row.version,
         )
-    except (KeyError, TypeError, ValueError):
+    except MALFORMED:
         return None
 
 
--- a/agaterelay/platform/store.py
+++ b/agaterelay/platform/store.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import base64
-import binascii
 import json
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 from agaterelay.adapters.http_pool import (
@@ -17,6 +16,14 @@
     ReceivedResponse,
     render_head,
 )
+from agaterelay.core.checked import (
+    MALFORMED,
+    DecodeError,
+    check_text,
+    check_whole,
+    load_json,
+    raises_decode_error,
+)
 from agaterelay.ports import (
     Changes,
     Conflict,
@@ -36,6 +43,8 @@
 # Larger tables are read page by page.
 PAGE_SIZE_ROWS = 500
 
+Decoded = TypeVar("Decoded")
+
 
 def _row(encoded: Any) -> StoredRow | None:
     """Decode a row; return None if another writer stored an invalid one."""
@@ -44,21 +53,39 @@
         value = b"" if deleted else base64.b64decode(encoded.get("value") or "")
         # In a row, "ver" is its own version; one level up it is that of the store.
         return StoredRow(
-            str(encoded["table"]),
-            str(encoded["key"]),
+            check_text(encoded["table"]),
+            check_text(encoded["key"]),
             value,
-            int(encoded["ver"]),
+            check_whole(encoded["ver"]),
             deleted,
         )
-    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error):
+    except MALFORMED:
         return None
 
 
+@raises_decode_error
 def _rows(encoded: Any) -> tuple[StoredRow, ...]:
     decoded = (_row(item) for item in encoded.get("rows") or ())
     return tuple(row for row in decoded if row is not None)
 
 
+@raises_decode_error
+def _changes(encoded: Any) -> Changes:
+    return Changes(_rows(encoded), check_whole(encoded["ver"]))
+
+
+def _decode_answer(decode: Callable[[Any], Decoded], encoded: Any) -> Decoded:
+    """Decode an answer of the store.
+
+    Raises:
+        PlatformError: The answer is not what the store gives.
+    """
+    try:
+        return decode(encoded)
+    except DecodeError as error:
+        raise PlatformError(f"unreadable answer: {error}") from error
+
+
 class StoreClient:
     """Client for the store, with one pool of connections per process."""
 
@@ -120,8 +147,8 @@
         if response.status not in (200, 410, 412):
             raise PlatformError(f"{path}: status {response.status}")
         try:
-            return response.status, json.loads(response.body)
-        except ValueError as error:
+            return response.status, load_json(response.body)
+        except DecodeError as error:
             if response.status == 410:
                 return 410, {}
             raise PlatformError(f"{path}: the response is not JSON") from error
@@ -167,13 +194,13 @@
             _, encoded = await self._call(
                 "GET", "/v1/rows-get", REQUEST_TIMEOUT_S, params=params
             )
-            page = _rows(encoded)
-            rows += page
+            page = _decode_answer(_changes, encoded)
+            rows += page.rows
             # The first page's version makes the change feed repeat all changes since then.
-            version = version or int(encoded["ver"])
-            if not encoded.get("hasMore") or not page:
+            version = version or page.version
+            if not encoded.get("hasMore") or not page.rows:
                 return Changes(tuple(rows), version)
-            first = page[-1].key + "\0"
+            first = page.rows[-1].key + "\0"
 
     async def wait_for_changes(
         self, table: str, after_version: int, wait_s: float
@@ -196,7 +223,7 @@
             raise HistoryLostError(
                 f"{table}: the store no longer has changes after version {after_version}"
             )
-        return Changes(_rows(encoded), int(encoded["ver"]))
+        return _decode_answer(_changes, encoded)
 
     async def write(
         self, writes: Iterable[StoredRow], removes: Iterable[StoredRow] = ()
@@ -232,5 +259,5 @@
             "POST", "/v1/rows-tx", REQUEST_TIMEOUT_S, content=body
         )
         if status == 412:
-            return Conflict(_rows(encoded))
+            return Conflict(_decode_answer(_rows, encoded))
         return None
--- a/agaterelay/platform/units.py
+++ b/agaterelay/platform/units.py
@@ -4,6 +4,8 @@
 
 import re
 
+from agaterelay.core.checked import check_number
+
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 
 
@@ -16,4 +18,4 @@
     match = _DURATION.fullmatch(text) if isinstance(text, str) else None
     if match is None:
         raise ValueError(f"must be a duration like 1500ms or 2.5s, not {text!r}")
-    return float(match[1]) / (1000 if match[2] == "ms" else 1)
+    return check_number(float(match[1])) / (1000 if match[2] == "ms" else 1)
