--- a/agaterelay/core/catch_up.py
+++ b/agaterelay/core/catch_up.py
@@ -29,15 +29,15 @@
 
     ``newer_revisions`` has the newest revision of each source, ``seen`` is the newest of
     all, first observed at ``seen_s``. ``behind_s`` is the time since which the node has
-    made no progress towards it, ``asked`` the source asked last, at ``asked_s``. Times
-    are in seconds on the monotonic clock.
+    made no progress towards it, ``asked`` are the sources asked in vain since, the last
+    one at ``asked_s``. Times are in seconds on the monotonic clock.
     """
 
     newer_revisions: dict[Source, int] = attrs.field(factory=dict)
     seen: int = 0
     seen_s: float = 0.0
     behind_s: float | None = None
-    asked: Source | None = None
+    asked: dict[Source, None] = attrs.field(factory=dict)
     asked_s: float = float("-inf")
 
 
@@ -73,6 +73,7 @@
     for source, revision in tuple(catch_up.newer_revisions.items()):
         if revision <= held:
             del catch_up.newer_revisions[source]
+    catch_up.asked.clear()
     catch_up.behind_s = now_s if catch_up.newer_revisions else None
 
 
@@ -99,17 +100,19 @@
         ]
     if not candidates:
         return None
-    not_just_asked = [item for item in candidates if item != catch_up.asked]
-    catch_up.asked = (not_just_asked or candidates)[0]
+    if all(item in catch_up.asked for item in candidates):
+        catch_up.asked.clear()
+    chosen = next(item for item in candidates if item not in catch_up.asked)
+    catch_up.asked[chosen] = None
     catch_up.asked_s = now_s
-    return catch_up.asked
+    return chosen
 
 
 def remove_source(catch_up: CatchUp[Source], source: Source) -> None:
     """Remove a source that is no longer reachable."""
     catch_up.newer_revisions.pop(source, None)
-    if catch_up.asked == source:
-        catch_up.asked = None
+    if next(reversed(catch_up.asked), None) == source:
         catch_up.asked_s = float("-inf")
+    catch_up.asked.pop(source, None)
     if not catch_up.newer_revisions:
         catch_up.behind_s = None
--- a/tests/core/test_catch_up.py
+++ b/tests/core/test_catch_up.py
@@ -63,3 +63,15 @@
     record_held_revision(catch_up, 5, 10.3)
     assert choose(catch_up, 10.2 + OTHER_ZONE_DELAY_S) is None
     assert choose(catch_up, 10.3 + OTHER_ZONE_DELAY_S) == "far"
+
+
+def test_sources_that_stay_silent_do_not_keep_the_others_from_being_asked():
+    catch_up = CatchUp()
+    sources = ["near-1", "near-2", "near-3", "far"]
+    for source in sources:
+        observe_revision(catch_up, source, 7, 3, 10.0)
+    asked = [
+        choose(catch_up, 10.5 + number * NEXT_REQUEST_DELAY_S) for number in range(5)
+    ]
+    assert asked[:4] == sources
+    assert asked[4] in sources
