--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -43,6 +43,7 @@
     WANT_MEMBERS = 12
     MEMBERS = 13
     TABLE_DELTA = 14
+    CRASHES = 15
 
 
 def configure_socket(tcp_socket: socket.socket, user_timeout_ms: int) -> None:
--- a/agaterelay/core/checked.py
+++ b/agaterelay/core/checked.py
@@ -129,3 +129,14 @@
         raise DecodeError("must be an address like 10.0.0.1:7000")
     check_whole(int(port), 1, MAX_PORT)
     return value
+
+
+def check_list(value: Any, most: int) -> list[Any]:
+    """Return a value that is a list of a limited length.
+
+    Raises:
+        DecodeError: It is not.
+    """
+    if not isinstance(value, list) or len(value) > most:
+        raise DecodeError(f"must be a list of at most {most} items")
+    return value
--- a/agaterelay/core/outcome.py
+++ b/agaterelay/core/outcome.py
@@ -16,10 +16,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The call was refused: it did not run, and no attempt with its key ever will."""
+    """The call was refused: it did not run, and no attempt with its key ever will.
+
+    ``retry_after_s`` is None if it is of no use to try again.
+    """
 
     reason: str
-    retry_after_s: float = 0.0
+    retry_after_s: float | None = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -40,6 +40,7 @@
     handle_withdrawal,
 )
 from agaterelay.mesh.callers import limits_in_force
+from agaterelay.mesh.crashes import Crashes, list_suspects, release_request
 from agaterelay.mesh.feeds import apply_config
 from agaterelay.mesh.inbound import Inbound, WireFormat
 from agaterelay.mesh.link import Links
@@ -54,6 +55,7 @@
     record_refused,
     run_node,
 )
+from agaterelay.mesh.notifications import broadcast_frame
 from agaterelay.mesh.request_state import Outbound, Request
 from agaterelay.mesh.state import MeshState, NodeContext, revision_of
 from agaterelay.mesh.store_watch import (
@@ -66,6 +68,8 @@
 from agaterelay.ports import Clock, Store
 
 EXIT_SETTINGS_INVALID = 2
+# For operators, beside the metrics.
+SUSPECTS_PATH = "/suspects"
 # The platform keeps its connections for readiness and metrics open between requests.
 PLATFORM_LIMITS = partial(
     CallerLimits, max_body_bytes=announcements.MAX_BODY_BYTES, idle_timeout_s=3600.0
@@ -100,7 +104,8 @@
     incarnation = int(clock.now().timestamp() * 1000)
     state = MeshState(own=own_member(deployment, incarnation))
     pool = HttpPool(deployment.upstream_address, WIRE.id_header)
-    inbound = Inbound(context, WIRE, pool)
+    crashes = Crashes(context, pool)
+    inbound = Inbound(context, WIRE, pool, crashes)
     inbound.line.unconfirmed = not deployment.first_start
     watch: StoreWatch | None = None
 
@@ -109,6 +114,7 @@
             apply_config(watch, value, "link")
 
     links = Links(context, state, inbound, apply_document)
+    crashes.tell = partial(broadcast_frame, links)
     watch = StoreWatch(context, state, links, make_operator_format())
     inbound.on_leaving = partial(apply_leaving, watch, inbound)
     outbound = Outbound(context, state, links, new_retry_budget(deployment.bounds))
@@ -158,6 +164,9 @@
         return HttpResponse(200 if is_ready(node) else 503)
     if path == "/metrics":
         return _render_metrics(node, sink)
+    if path == SUSPECTS_PATH or path.startswith(f"{SUSPECTS_PATH}/"):
+        key = path.removeprefix(SUSPECTS_PATH).removeprefix("/")
+        return _handle_suspects(node.inbound.crashes, request.method, key)
     if not path.startswith(announcements.PATH_PREFIX):
         return _json_response(404, {"error": "no such resource"})
     instance = path.removeprefix(announcements.PATH_PREFIX)
@@ -174,6 +183,19 @@
     return _json_response(200, {})
 
 
+def _handle_suspects(crashes: Crashes, method: str, key: str) -> HttpResponse:
+    """List the requests that are suspected of crashes, or release one by its key."""
+    if method == "GET" and not key:
+        return _json_response(200, {"suspects": list_suspects(crashes)})
+    if method != "DELETE":
+        return _json_response(405, {"error": "only GET and DELETE"})
+    try:
+        released = release_request(crashes, bytes.fromhex(key))
+    except ValueError:
+        released = False
+    return _json_response(200 if released else 404, {"released": released})
+
+
 def _render_metrics(node: Node, sink: LineSink) -> HttpResponse:
     gauges = node.meters.gauges
     rate_limit = node.inbound.queue.rate_limit
@@ -183,6 +205,8 @@
     gauges["upstream_rate_limited"] = rate_limit.rate_per_s is not None
     gauges["upstream_rate_limit_per_second"] = rate_limit.rate_per_s or 0.0
     gauges["links_up"] = sum(link.usable for link in node.links.links.values())
+    gauges["requests_held"] = node.inbound.crashes.held_count
+    gauges["requests_suspected"] = len(node.inbound.crashes.suspects.crashes)
     gauges["store_up"] = node.state.store_up
     gauges["log_lines_dropped"] = sink.dropped
     return HttpResponse(200, (("Content-Type", "text/plain"),), node.meters.render())
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -41,6 +41,10 @@
     UPSTREAM_LIMITED = (315, "An upstream named, changed or lifted its rate limit.")
     UPSTREAM_HEADER_INVALID = (316, "An upstream's answer has an unreadable header.")
     DRAIN_ASKED = (313, "An operator started or ended a drain.")
+    UPSTREAM_CRASHED = (
+        317,
+        "An upstream ended with calls in hand; some are suspected.",
+    )
     CALL_NOT_RUN = (400, "A call was rejected before any of it ran.")
     CALL_UNKNOWN = (401, "It is unknown whether a call ran.")
     CALL_FAILED = (402, "An upstream answered a call with a server error.")
@@ -52,6 +56,8 @@
     CALL_RAN = (408, "An upstream ran a call; a sample of these is logged.")
     REQUEST_REFUSED = (409, "A request was refused before it was sent to any node.")
     CALL_ABANDONED = (410, "An inbound proxy ended a call whose caller disconnected.")
+    REQUEST_HELD = (411, "A request is held back: upstreams end when they run it.")
+    REQUEST_RELEASED = (412, "An operator ended the holding back of a request.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node stopped sending calls to the new version.")
     MOVE_FINISHED = (502, "A move was completed or reverted.")
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -30,6 +30,7 @@
     apply_leaving_answer,
 )
 from agaterelay.core.call import Call, RawHeaders
+from agaterelay.core.crash_suspects import Key, is_held, request_key
 from agaterelay.core.evidence import Tally, add_calls
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
@@ -57,6 +58,7 @@
 )
 from agaterelay.core.trial import RouteTallies, sum_tallies
 from agaterelay.events import EventKind
+from agaterelay.mesh.crashes import Crashes, confirm_crash, record_answer
 from agaterelay.mesh.state import NodeContext
 
 # Tallies are kept per second, for as long as a move may take.
@@ -81,6 +83,7 @@
         report: The load of the upstream when the call ended.
         service_ms: The service time in milliseconds if the call succeeded, else 0.
         leaving: Whether the answer says that the upstream is about to leave.
+        crashes: How many upstreams have ended lately with this request in hand.
     """
 
     outcome: Outcome
@@ -88,6 +91,7 @@
     report: LoadReport
     service_ms: float = 0.0
     leaving: bool = False
+    crashes: int = 0
 
 
 @attrs.frozen
@@ -98,6 +102,7 @@
     was_sent: bool = False
     service_ms: float = 0.0
     leaving: bool = False
+    crashes: int = 0
 
 
 @attrs.frozen
@@ -126,6 +131,7 @@
     """The state of an inbound proxy.
 
     Attributes:
+        crashes: The ends of upstreams, and which requests are suspected.
         line: What the upstream has announced.
         waiters: The futures of the queued tickets; None as result grants the slot, an
             outcome refuses it.
@@ -143,6 +149,7 @@
     context: NodeContext
     wire: WireFormat
     pool: HttpPool
+    crashes: Crashes
     line: UpstreamRecord = attrs.field(factory=UpstreamRecord)
     queue: SlotQueue = attrs.field(factory=lambda: SlotQueue(1))
     waiters: dict[Ticket, asyncio.Future[Outcome | None]] = attrs.field(factory=dict)
@@ -233,6 +240,7 @@
             report=report_load(inbound),
             service_ms=run.service_ms,
             leaving=run.leaving,
+            crashes=run.crashes,
         )
     except asyncio.CancelledError:
         inbound.context.record(
@@ -342,19 +350,25 @@
     except NotSentError as error:
         record_call_end(inbound.queue, True, clock.monotonic_s())
         return Run(NotRun(f"the upstream accepts no connection: {error}", 0.1))
+    key = request_key(call.service, call.method, call.path, call.body)
     reason = find_refusal_reason(inbound)
+    if is_held(inbound.crashes.suspects, key, clock.monotonic_s()):
+        reason = describe_hold(key)
     remaining_s = call.deadline_s - clock.monotonic_s()
     if reason is not None or remaining_s <= 0:
         inbound.pool.release(connection, clock.monotonic_s())
         return Run(NotRun(reason or "its deadline passed", DRAINING_RETRY_S))
     start = current_start(inbound)
     leaving = False
+    crashes = 0
     try:
         answer = await _send_call(inbound, connection, call, remaining_s)
     except NotSentError as error:
         return Run(NotRun(f"the connection closed before the call: {error}"))
     except AnswerLostError as error:
         outcome: Outcome = Unknown(f"the answer was lost: {error}")
+        if find_refusal_reason(inbound) is None:
+            crashes = await confirm_crash(inbound.crashes, key, call.instance)
     except TimeoutError:
         reason = "the upstream did not answer before the deadline"
         outcome = Unknown(reason, timed_out=True)
@@ -362,6 +376,8 @@
         outcome = inbound.wire.outcome(
             answer.status, answer.headers, answer.body, call.call_id
         )
+        if isinstance(outcome, Answered):
+            record_answer(inbound.crashes, key)
         if not isinstance(outcome, Unknown):
             signals = inbound.wire.signals(answer.status, answer.headers)
             if signals is not None:
@@ -373,7 +389,12 @@
     )
     succeeded = isinstance(outcome, Answered) and outcome.status < MIN_FAILURE_STATUS
     service_ms = round((now_s - started_s) * 1000, 1) if succeeded else 0.0
-    return Run(outcome, True, service_ms, leaving)
+    return Run(outcome, True, service_ms, leaving, crashes)
+
+
+def describe_hold(key: Key) -> str:
+    """Return why a request is held back; its key leads to the crashes in the log."""
+    return f"it is held back since upstreams end when they run it: {key.hex()}"
 
 
 def current_start(inbound: Inbound) -> tuple[str, int] | None:
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -31,6 +31,7 @@
 from agaterelay.core.placing import TargetLoad, record_load_report
 from agaterelay.core.trial import RouteTallies
 from agaterelay.events import EventKind
+from agaterelay.mesh.crashes import handle_crashes, send_known_crashes
 from agaterelay.mesh.inbound import CallResult, report_load, run_call, tallies_since
 from agaterelay.mesh.link import NEVER_S, Link, LinkDownError, Links
 from agaterelay.mesh.notifications import (
@@ -180,7 +181,9 @@
         link.connection = connection
         link.last_received_s = clock.monotonic_s()
         link.pinged_s = link.last_received_s
+        connection.host = link.host
         send_hello(links, connection)
+        send_known_crashes(links.inbound.crashes, connection)
         await lost.wait()
         await clock.sleep(FIRST_REDIAL_DELAY_S * random.random())
 
@@ -240,6 +243,8 @@
         handle_revision(links, connection, check_whole(frame[1]))
     elif kind in MEMBERSHIP_FRAMES:
         _handle_membership_frame(links, connection, frame)
+    elif kind == Frame.CRASHES:
+        handle_crashes(links.inbound.crashes, connection, frame)
     elif kind == Frame.ASK_TALLIES:
         since_s = links.context.clock.monotonic_s() - check_number(frame[2])
         tallies = tallies_since(links.inbound, since_s)
@@ -269,6 +274,7 @@
 def _handle_accepted(links: Links, connection: FrameConnection) -> None:
     links.accepted.add(connection)
     send_hello(links, connection)
+    send_known_crashes(links.inbound.crashes, connection)
 
 
 def _handle_accepted_loss(links: Links, connection: FrameConnection) -> None:
@@ -326,6 +332,8 @@
             future.set_result(tallies)
     elif kind in MEMBERSHIP_FRAMES:
         _handle_membership_frame(links, link.connection, frame)
+    elif kind == Frame.CRASHES:
+        handle_crashes(links.inbound.crashes, link.connection, frame)
     else:
         handle_table_frame(links, link.connection, frame)
 
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -24,6 +24,8 @@
     "upstream_rate_limited": "Whether this host's upstream names a rate limit.",
     "upstream_rate_limit_per_second": "The rate limit, 0 if it names none.",
     "links_up": "Links to other nodes that can be used.",
+    "requests_held": "Requests held back because upstreams end when they run them.",
+    "requests_suspected": "Requests that upstreams had in hand when they ended.",
     "store_up": "Whether the store answered last.",
     "log_lines_dropped": "Log lines left out lately.",
 }
--- a/agaterelay/mesh/notifications.py
+++ b/agaterelay/mesh/notifications.py
@@ -107,15 +107,35 @@
 ) -> None:
     state = links.state
     frame = _build_news_frame(links, members, removed)
-    notified = set()
+    broadcast_frame(
+        links,
+        frame,
+        is_wanted=lambda host: not own_zone_only or in_own_zone(state, host),
+    )
+
+
+def broadcast_frame(
+    links: Links,
+    frame: list[Any],
+    skip: FrameConnection | None = None,
+    is_wanted: Callable[[str], bool] = lambda host: True,
+) -> None:
+    """Send a frame once to each linked node.
+
+    Args:
+        links: The links of this node.
+        frame: The frame.
+        skip: The connection over which it came.
+        is_wanted: Returns whether a host gets it.
+    """
+    notified = {skip.host} if skip is not None else set()
     for link in links.links.values():
-        if own_zone_only and not in_own_zone(state, link.host):
+        if link.host in notified or not is_wanted(link.host):
             continue
         if link.connection is not None and link.connection.send(frame):
             notified.add(link.host)
     for connection in links.accepted:
-        host = connection.host
-        if host not in notified and (not own_zone_only or in_own_zone(state, host)):
+        if connection.host not in notified and is_wanted(connection.host):
             connection.send(frame)
 
 
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -13,6 +13,7 @@
 import asyncio
 
 from agaterelay.core.call import Call
+from agaterelay.core.crash_suspects import HELD_CRASH_COUNT, is_held, request_key
 from agaterelay.core.membership import Member, UpstreamInfo
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport, TargetLoad, record_answer
@@ -24,7 +25,7 @@
 from agaterelay.core.stopping import takes_request
 from agaterelay.core.trial import should_brake
 from agaterelay.events import EventKind
-from agaterelay.mesh.inbound import CallResult
+from agaterelay.mesh.inbound import CallResult, describe_hold
 from agaterelay.mesh.link import LinkDownError
 from agaterelay.mesh.links import load_of, send_call
 from agaterelay.mesh.request_state import Outbound, Request, RequestState
@@ -90,6 +91,9 @@
         reason = "the node is stopping, and its time limit ends after that"
         return _refuse(outbound, request, NotRun(reason, STOPPING_RETRY_S), waited_s)
     service = choose_service(outbound, route)
+    hold = _find_hold(outbound, service, request)
+    if hold is not None:
+        return _refuse(outbound, request, NotRun(hold, None), waited_s)
     request_state = RequestState(
         request, route, service, started_s, started_s + timeout_s, waited_s=waited_s
     )
@@ -131,6 +135,18 @@
     return outcome
 
 
+def _find_hold(outbound: Outbound, service: str, request: Request) -> str | None:
+    """Return why a request is sent to no upstream, None if it may be."""
+    crashes = outbound.links.inbound.crashes
+    if not crashes.suspects.crashes:
+        return None
+    key = request_key(service, request.method, request.path, request.body)
+    if not is_held(crashes.suspects, key, outbound.context.clock.monotonic_s()):
+        return None
+    crashes.held_count += 1
+    return describe_hold(key)
+
+
 async def _run_attempts(outbound: Outbound, request_state: RequestState) -> Outcome:
     """Make attempts on upstreams until there is a final outcome."""
     version, burst = choose_version(outbound, request_state.service)
@@ -164,6 +180,11 @@
             _record_retry_after(request_state, outcome)
         serving, _ = versions_of(outbound.state, request_state.service)
         version, burst = serving, False
+        hold = _find_hold(outbound, request_state.service, request_state.request)
+        if result.crashes >= HELD_CRASH_COUNT or hold is not None:
+            if request_state.last_outcome is None:
+                return NotRun(hold or _reason_of(outcome), None)
+            return _final_outcome(outbound, request_state, _reason_of(outcome))
         if not _acquire_retry(outbound, request_state, result):
             return _final_outcome(outbound, request_state, _reason_of(outcome))
 
--- a/agaterelay/mesh/servers.py
+++ b/agaterelay/mesh/servers.py
@@ -29,7 +29,8 @@
     status = TIMED_OUT_STATUS if outcome_timed_out(outcome) else UNKNOWN_STATUS
     if isinstance(outcome, NotRun):
         status = NOT_RUN_STATUS
-        headers += (("Retry-After", f"{max(outcome.retry_after_s, 0.01):.3f}"),)
+        if outcome.retry_after_s is not None:
+            headers += (("Retry-After", f"{max(outcome.retry_after_s, 0.01):.3f}"),)
     return HttpResponse(status, headers, f"{outcome.reason}\n".encode(), closes)
 
 
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -103,6 +103,7 @@
         result.service_ms,
         report[_FIRST_REPORT_FIELDS:],
         result.leaving,
+        result.crashes,
     ]
 
 
@@ -115,12 +116,14 @@
     """
     outcome, reached_upstream, report, service_ms, *rest = encoded
     later_report, leaving = rest[:2] if rest else ((), False)
+    crashes = check_whole(rest[2]) if len(rest) > 2 else 0
     return CallResult(
         outcome=_decode_outcome(outcome),
         reached_upstream=reached_upstream,
         report=LoadReport(*map(check_number, (*report, *later_report))),
         service_ms=check_number(service_ms),
         leaving=leaving,
+        crashes=crashes,
     )
 
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -30,6 +30,8 @@
     (never answers), ``stale_refusal`` (writes a refusal of an earlier call, which names
     no call, before it runs the call and answers).
 
+    A call of ``deadly_path`` ends the instance. ``crash_count`` counts its ends.
+
     ``answer_headers`` are added to every answer, each with its own value, as they are.
 
     ``ran`` counts how often each call id ran. ``heads`` and ``bodies`` are the requests of
@@ -45,6 +47,8 @@
     service_time_s: float = 0.0
     born_ms: int = 1_000
     fault: str = ""
+    deadly_path: str = ""
+    crash_count: int = 0
     answer_headers: list[tuple[str, str]] = attrs.field(factory=list)
     ran: Counter[str] = attrs.field(factory=Counter)
     # For each call: its start on the monotonic clock, in seconds, the ``born_ms`` of the
@@ -58,6 +62,7 @@
     aborted_count: int = 0
     sequence: int = 0
     server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
 
 def expected_body(call_id: str) -> bytes:
@@ -83,6 +88,14 @@
         instance.server.close()
 
 
+def crash_instance(instance: Instance) -> None:
+    """End an instance as a crash of its process does."""
+    instance.crash_count += 1
+    stop_instance(instance)
+    for writer in tuple(instance.writers):
+        writer.transport.abort()
+
+
 async def announce(
     instance: Instance,
     node: str,
@@ -141,6 +154,7 @@
 async def _serve(
     instance: Instance, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
+    instance.writers.add(writer)
     try:
         while True:
             head = await reader.readuntil(b"\r\n\r\n")
@@ -151,6 +165,7 @@
     except (asyncio.IncompleteReadError, ConnectionError):
         pass
     finally:
+        instance.writers.discard(writer)
         writer.close()
 
 
@@ -188,6 +203,9 @@
         await _wait_service_time(instance, reader)
     finally:
         instance.running -= 1
+    if instance.deadly_path and line.split(" ")[1] == instance.deadly_path:
+        crash_instance(instance)
+        raise ConnectionResetError
     _answer(instance, call_id, writer)
 
 
