--- a/tests/core/test_catch_up.py
+++ b/tests/core/test_catch_up.py
@@ -71,7 +71,8 @@
     for source in sources:
         observe_revision(catch_up, source, 7, 3, 10.0)
     asked = [
-        choose(catch_up, 10.5 + number * NEXT_REQUEST_DELAY_S) for number in range(5)
+        choose(catch_up, 10.5 + number * (NEXT_REQUEST_DELAY_S + 0.01))
+        for number in range(5)
     ]
     assert asked[:4] == sources
     assert asked[4] in sources
