--- a/agaterelay/cli/explain.py
+++ b/agaterelay/cli/explain.py
@@ -12,6 +12,7 @@
 from agaterelay.cli.outcome import CommandError, Exit, print_result
 from agaterelay.core.request_trace import (
     LogLine,
+    find_crashes,
     find_host_context,
     find_request_trace,
     format_line,
@@ -41,9 +42,14 @@
     texts += [f"  {format_line(line)}" for line in trace]
     texts += ["state of these hosts when the request arrived"]
     texts += [f"  {format_line(line)}" for line in host_context]
+    crashes = find_crashes(lines, trace)
+    if crashes:
+        texts += ["why such a request is held back"]
+        texts += [f"  {format_line(line)}" for line in crashes]
     value = {
         "story": [line.fields for line in trace],
         "beliefs": [line.fields for line in host_context],
+        "crashes": [line.fields for line in crashes],
     }
     print_result(value, command.json, texts)
 
--- a/agaterelay/core/request_trace.py
+++ b/agaterelay/core/request_trace.py
@@ -26,9 +26,6 @@
     "upstream_draining",
     "upstream_withdrawn",
     "upstream_limited",
-    "upstream_crashed",
-    "request_held",
-    "request_released",
     "move_stepped",
     "move_finished",
     "move_braked",
@@ -44,6 +41,8 @@
     "call_unknown": "the caller was told that it may have run",
     "call_ended": "the caller got the upstream's answer",
     "call_cancelled": "the caller left",
+    "upstream_crashed": "its upstream ended with calls in hand",
+    "request_held": "the request is held back from now on",
     "request_refused": "it was refused before it was placed anywhere",
 }
 _OMITTED_FIELDS = frozenset(
@@ -111,6 +110,28 @@
     return host_lines
 
 
+def find_crashes(lines: Sequence[LogLine], trace: Sequence[LogLine]) -> list[LogLine]:
+    """Return the lines on the crashes for which a request of the trace is held back.
+
+    The reason of its refusal ends with its key, the line that it is held back names the
+    crashes, and each crash has a line of the host whose upstream ended.
+    """
+    reasons = [str(line.fields.get("reason", "")) for line in trace]
+    held = {
+        line.fields["key"]: line
+        for line in lines
+        if line.event == "request_held"
+        and any(reason.endswith(line.fields.get("key", " ")) for reason in reasons)
+    }
+    crashes = {crash for line in held.values() for crash in line.fields["crashes"]}
+    ended = [
+        line
+        for line in lines
+        if line.event == "upstream_crashed" and line.fields.get("crash") in crashes
+    ]
+    return [*ended, *held.values()]
+
+
 def format_line(line: LogLine) -> str:
     """Format a line for people to read."""
     description = _DESCRIPTIONS.get(line.event, line.event.replace("_", " "))
--- a/tests/core/test_request_trace.py
+++ b/tests/core/test_request_trace.py
@@ -3,6 +3,7 @@
 import json
 
 from agaterelay.core.request_trace import (
+    find_crashes,
     find_host_context,
     find_request_trace,
     format_line,
@@ -59,3 +60,23 @@
     assert format_line(only_line) == (
         "a: it was refused before it was placed anywhere (reason status 404)"
     )
+
+
+def test_a_held_request_leads_to_the_crashes_that_it_is_held_for():
+    output = [
+        line("b", "upstream_crashed", crash="b/i/0", suspected=["aa", "bb"]),
+        line("c", "upstream_crashed", crash="c/i/0", suspected=["aa"]),
+        line("d", "upstream_crashed", crash="d/i/0", suspected=["cc"]),
+        line("a", "request_held", key="cc", crashes=["d/i/0"]),
+        line("a", "request_held", key="aa", crashes=["b/i/0", "c/i/0"]),
+        line("a", "request_refused", request_id="r", reason="it is held back: aa"),
+        line("a", "request_refused", request_id="other", reason="status 404"),
+    ]
+    lines = parse_lines(output)
+    found = find_crashes(lines, find_request_trace(lines, "r"))
+    assert [(item.host, item.event) for item in found] == [
+        ("b", "upstream_crashed"),
+        ("c", "upstream_crashed"),
+        ("a", "request_held"),
+    ]
+    assert find_crashes(lines, find_request_trace(lines, "other")) == []
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,23 +14,34 @@
 TIMEOUT_S = 0.4
 
 
+class SlowServer(asyncio.Protocol):
+    """Answers a request in parts, and ends the answer after some of them."""
+
+    def __init__(self, part_count):
+        self.part_count = part_count
+        self.transport = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        body = json.dumps({"rows": [], "ver": 7}).encode().ljust(PART_COUNT)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.transport.write(head)
+        size = len(body) // PART_COUNT + 1
+        for number in range(self.part_count):
+            part = body[number * size : (number + 1) * size]
+            delay_s = number * PART_INTERVAL_S
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self.transport.write, part)
+
+
 async def read_in_parts(part_count):
     """Read a table whose answer arrives in parts and ends after some of them."""
     address = free_address()
     host, port = address.split(":")
-    body = json.dumps({"rows": [], "ver": 7}).encode().ljust(PART_COUNT)
-
-    async def answer(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
-        size = len(body) // PART_COUNT + 1
-        for number in range(part_count):
-            writer.write(body[number * size : (number + 1) * size])
-            await asyncio.sleep(PART_INTERVAL_S)
-        await reader.read()
-        writer.close()
-
-    server = await asyncio.start_server(answer, host, int(port))
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: SlowServer(part_count), host, int(port))
     client = StoreClient(address)
     await client.open()
     received = []
@@ -40,6 +51,7 @@
     finally:
         await client.close()
         server.close()
+        await asyncio.sleep(PART_INTERVAL_S)
 
 
 def test_a_large_answer_that_keeps_arriving_is_not_given_up(monkeypatch):
