--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -233,9 +233,10 @@
         watch.followed.add(table)
         now_s = watch.answered_s[table] = clock.monotonic_s()
         watch.call_s[table] = now_s - began_s
-        _record_current(watch, table, changes)
+        duration_s = _answer_transfer_s(watch, changes)
+        watch.current_s[table] = now_s - duration_s
         if version is None or not changes.rows:
-            record_answer_time(watch, began_s, wait_s)
+            record_answer_time(watch, began_s, wait_s + duration_s)
         retry_s = 0.0
         version = max(changes.version, version or 0)
         _apply_rows(watch, changes, apply_row)
@@ -257,11 +258,10 @@
     return must_read_anew(age_s, transfer_s(len(held.source), link_mbps))
 
 
-def _record_current(watch: StoreWatch, table: str, changes: Changes) -> None:
-    """Record of when the state is that an answer has brought."""
+def _answer_transfer_s(watch: StoreWatch, changes: Changes) -> float:
+    """Return how long the rows of an answer take on this host's link, in seconds."""
     size_bytes = sum(len(row.value) for row in changes.rows)
-    duration_s = transfer_s(size_bytes, watch.context.deployment.link_mbps)
-    watch.current_s[table] = watch.context.clock.monotonic_s() - duration_s
+    return transfer_s(size_bytes, watch.context.deployment.link_mbps)
 
 
 def _remove_missing_members(watch: StoreWatch, changes: Changes) -> None:
--- a/agaterelay/mesh/store_watch.py
+++ b/agaterelay/mesh/store_watch.py
@@ -88,7 +88,8 @@
     Args:
         watch: The state of the tasks that follow the store.
         began_s: When the call was sent, on the steady clock.
-        wait_s: How long the store was asked to wait for changes, in seconds.
+        wait_s: How long the store was asked to wait for changes, and its answer was on
+            the host's link, in seconds.
     """
     now_s = watch.context.clock.monotonic_s()
     if record_answer(watch.answer_time, began_s, wait_s, now_s):
