--- a/agaterelay/mesh/crashes.py
+++ b/agaterelay/mesh/crashes.py
@@ -126,7 +126,7 @@
     return True
 
 
-def record_answer(crashes: Crashes, key: Key) -> None:
+def record_answered_request(crashes: Crashes, key: Key) -> None:
     """Record that an upstream has answered a request, and tell if that clears it."""
     now_s = crashes.context.clock.monotonic_s()
     if record_proof(crashes.suspects, key, now_s):
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -58,7 +58,7 @@
 )
 from agaterelay.core.trial import RouteTallies, sum_tallies
 from agaterelay.events import EventKind
-from agaterelay.mesh.crashes import Crashes, confirm_crash, record_answer
+from agaterelay.mesh.crashes import Crashes, confirm_crash, record_answered_request
 from agaterelay.mesh.state import NodeContext
 
 # Tallies are kept per second, for as long as a move may take.
@@ -377,7 +377,7 @@
             answer.status, answer.headers, answer.body, call.call_id
         )
         if isinstance(outcome, Answered):
-            record_answer(inbound.crashes, key)
+            record_answered_request(inbound.crashes, key)
         if not isinstance(outcome, Unknown):
             signals = inbound.wire.signals(answer.status, answer.headers)
             if signals is not None:
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -25,6 +25,7 @@
 from agaterelay.core.stopping import takes_request
 from agaterelay.core.trial import should_brake
 from agaterelay.events import EventKind
+from agaterelay.mesh.crashes import record_answered_request
 from agaterelay.mesh.inbound import CallResult, describe_hold
 from agaterelay.mesh.link import LinkDownError
 from agaterelay.mesh.links import load_of, send_call
@@ -298,6 +299,9 @@
             instance=upstream.instance,
             source="answer",
         )
+    if isinstance(result.outcome, Answered) and member.host != outbound.state.own.host:
+        key = request_key(call.service, call.method, call.path, call.body)
+        record_answered_request(outbound.links.inbound.crashes, key)
     if result.service_ms and isinstance(result.outcome, Answered):
         costs = outbound.route_costs[route.name]
         record_answer(costs, load, result.service_ms, len(result.outcome.body))
--- a/tests/mesh/test_crashes.py
+++ b/tests/mesh/test_crashes.py
@@ -142,22 +142,23 @@
     async def scenario():
         async with running_fleet(("desk",) * 5) as fleet:
             for host in fleet.hosts:
-                host.instance.service_time_s = 0.2
+                host.instance.service_time_s = 0.4
             await asyncio.gather(
                 *(send_request(fleet, host, "/read/busy") for host in fleet.hosts)
             )
             calls = [
                 asyncio.create_task(send_request(fleet, host, "/read/busy"))
                 for host in fleet.hosts
-                for _ in range(2)
+                for _ in range(4)
             ]
-            victims = fleet.hosts[:3]
-            await wait_until(lambda: all(item.instance.running for item in victims))
-            for host in victims:
-                crash_instance(host.instance)
+            instances = [host.instance for host in fleet.hosts]
+            await wait_until(lambda: sum(item.running > 0 for item in instances) >= 3)
+            for instance in [item for item in instances if item.running][:3]:
+                crash_instance(instance)
             await asyncio.gather(*calls)
             busy = request_key("desk", "GET", "/read/busy", b"")
             assert not any(holds(host, busy) for host in fleet.hosts)
+            assert sum(crashes_known(host) for host in fleet.hosts) >= 3
             assert (await send_request(fleet, fleet.hosts[4], "/read/busy"))[0] == 200
 
     asyncio.run(scenario())
