--- a/agaterelay/platform/announcements.py
+++ b/agaterelay/platform/announcements.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from agaterelay.core.announcement import Announcement
-from agaterelay.core.checked import DecodeError, check_whole, load_json
+from agaterelay.core.checked import DecodeError, check_address, check_whole, load_json
 from agaterelay.platform.units import parse_seconds
 
 PATH_PREFIX = "/v1/instances/"
@@ -32,6 +32,10 @@
     for name in ("service", "address", "zone", "version"):
         if not isinstance(fields.get(name), str) or not fields[name]:
             return f"{name} is no text"
+    try:
+        check_address(fields["address"])
+    except DecodeError:
+        return "address is no address"
     if not isinstance(fields.get("state"), str) or fields["state"] not in _STATES:
         return "unknown state"
     for name in ("concurrency", "sequence"):
--- a/tests/mesh/test_odd_entries.py
+++ b/tests/mesh/test_odd_entries.py
@@ -170,9 +170,11 @@
         {"sequence": 10**30},
         {"concurrency": 10**30},
         {"coldLeft": "9" * 400 + "s"},
+        {"address": "10.0.0.9:99999"},
+        {"address": "10.0.0.9"},
     ],
 )
-def test_an_announcement_with_a_number_too_large_is_refused(changes):
+def test_an_announcement_with_an_impossible_value_is_refused(changes):
     fields = {
         "service": "desk",
         "address": "10.0.0.9:80",
