--- a/review/harness.py
+++ b/review/harness.py
@@ -43,6 +43,9 @@
     "idleTimeout": "15000ms",
 }
 
+# The connections that the stand-ins have accepted.
+open_writers: set[asyncio.StreamWriter] = set()
+
 
 class CannotRunError(Exception):
     """The case cannot be run on this machine."""
@@ -93,11 +96,13 @@
     """Listen, and end a connection when its handler ends."""
 
     async def run(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        open_writers.add(writer)
         try:
             await handle(reader, writer)
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
+            open_writers.discard(writer)
             writer.close()
 
     return await asyncio.start_server(run, *address)
@@ -462,6 +467,9 @@
         for node in self.nodes:
             if node.process is not None:
                 await node.process.wait()
+        for writer in tuple(open_writers):
+            writer.transport.abort()
+        await asyncio.sleep(0.1)
 
 
 def route(
