--- a/review/harness.py
+++ b/review/harness.py
@@ -109,9 +109,14 @@
 
 
 class Store:
-    """The platform's store: rows, conditional transactions and feeds."""
+    """The platform's store: rows, conditional transactions and feeds.
+
+    Attributes:
+        silent: Whether it gives no response. Calls of that time are never answered.
+    """
 
     def __init__(self) -> None:
+        self.silent = False
         self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
         self.log: list[dict[str, Any]] = []
         self.version = 0
@@ -177,10 +182,15 @@
             path, _, text = first.split(" ")[1].partition("?")
             query = dict(item.split("=", 1) for item in text.split("&") if "=" in item)
             await asyncio.sleep(0.004)
+            if self.silent:
+                await asyncio.Event().wait()
             if path == "/v1/rows-tx":
                 writer.write(await self._transact(json.loads(body)))
             elif path == "/v1/rows-feed":
-                writer.write(await self._feed(query))
+                answer = await self._feed(query)
+                if self.silent:
+                    await asyncio.Event().wait()
+                writer.write(answer)
             else:
                 found = [
                     row
