Review: an error of a script itself ends it with 2

Cause: an exception that was not expected would have ended a script with 1, as a broken rule does. Change: the stand-ins' main function returns 2 for any error.

--- a/review/harness.py
+++ b/review/harness.py
@@ -554,7 +554,8 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             code = asyncio.run(run(Path(temporary)))
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except Exception as error:
+            # An error of the script itself must not look like a broken rule.
             record(f"the case could not run: {type(error).__name__}: {error}")
             code = COULD_NOT_RUN
         if os.environ.get("KEEP_LOGS"):
