Refuse names that cannot be passed on

Cause: the decoders of announcements and orders took any text. Python's JSON parser accepts half a character, as bytes (ED A0 BD) or as an escape, and returns a text that msgpack, UTF-8 and HTTP heads refuse. The text became part of the host's own member record, which then raised wherever it was sent.

CR LF, NUL and 15,000 characters were taken in each field, too; the instance id went into the head of each call as it was.

Change: one check for names (core/checked.py), of printable characters and at most 96 bytes, so that two of them fit into the key of a row. Announcements, withdrawals, orders, routes, services, member records, moves and the own settings use it. All other texts have to be encodable, JSON has to be UTF-8, and the path of a health check has to be a request target.

--- a/agaterelay/core/checked.py
+++ b/agaterelay/core/checked.py
@@ -16,6 +16,8 @@
 # Above any time in milliseconds since 1970 that a clock shows, and exact as a float.
 MAX_WHOLE = 10**15
 MAX_PORT = 65_535
+# Two names and a prefix fit into the key of a row.
+MAX_NAME_BYTES = 96
 
 # What code raises that takes apart a value of an unexpected shape.
 MALFORMED = (
@@ -57,9 +59,12 @@
     """Parse JSON; numbers that are not finite are refused.
 
     Raises:
-        DecodeError: The text is not JSON, or nested too deeply.
+        DecodeError: The text is not JSON in UTF-8, or nested too deeply.
     """
-    return json.loads(text, parse_constant=_refuse_constant, parse_float=_finite)
+    # Given bytes, the parser accepts halves of characters, which cannot be written again.
+    return json.loads(
+        text.decode(), parse_constant=_refuse_constant, parse_float=_finite
+    )
 
 
 def _refuse_constant(name: str) -> None:
@@ -71,16 +76,49 @@
 
 
 def check_text(value: Any) -> str:
-    """Return a value that is a text.
+    """Return a value that is a text and can be encoded.
 
     Raises:
-        DecodeError: It is not.
+        DecodeError: It is not; an escape in JSON may stand for half a character.
     """
     if not isinstance(value, str):
         raise DecodeError(f"must be a text, not {type(value).__name__}")
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise DecodeError("must not contain halves of characters") from None
     return value
 
 
+def check_name(value: Any) -> str:
+    """Return a value that is a name, such as that of a service, version or instance.
+
+    A name can be passed on in every format that the node writes: messages and rows,
+    headers, paths, keys of rows, logs and metrics.
+
+    Raises:
+        DecodeError: It is not.
+    """
+    name = check_text(value)
+    if not name or len(name.encode()) > MAX_NAME_BYTES:
+        raise DecodeError(f"must be a name of 1 to {MAX_NAME_BYTES} bytes")
+    if not name.isprintable() or name != name.strip():
+        raise DecodeError("must be a name of printable characters")
+    return name
+
+
+def check_path(value: Any) -> str:
+    """Return a value that can be the target of a request.
+
+    Raises:
+        DecodeError: It is not.
+    """
+    path = check_text(value)
+    if not path or not path.isascii() or not path.isprintable() or " " in path:
+        raise DecodeError("must be a path of visible ASCII characters")
+    return path
+
+
 def check_flag(value: Any) -> bool:
     """Return a value that is true or false.
 
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -30,6 +30,7 @@
     make_recorder,
     record_library_warnings,
 )
+from agaterelay.core.checked import DecodeError, check_name
 from agaterelay.core.deployment import Deployment
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
@@ -159,7 +160,8 @@
     The platform asks for readiness and metrics, the upstream announces and withdraws
     itself.
     """
-    path = unquote(request.target.partition("?")[0])
+    # Escapes that are not UTF-8 become characters that no name may have.
+    path = unquote(request.target.partition("?")[0], errors="surrogateescape")
     if path == announcements.READY_PATH:
         return HttpResponse(200 if is_ready(node) else 503)
     if path == "/metrics":
@@ -171,6 +173,10 @@
         return _json_response(404, {"error": "no such resource"})
     instance = path.removeprefix(announcements.PATH_PREFIX)
     if request.method == "DELETE":
+        try:
+            check_name(instance)
+        except DecodeError as error:
+            return _json_response(400, {"error": f"instance id {error}"})
         born_ms = announcements.decode_born_ms(request.body)
         await handle_withdrawal(node.watch, node.inbound, instance, born_ms)
         return _json_response(200, {})
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -12,6 +12,7 @@
     DecodeError,
     check_address,
     check_flag,
+    check_name,
     check_number,
     check_text,
     check_whole,
@@ -168,7 +169,7 @@
     host, zone, incarnation, sequence, state, upstreams, *rest = encoded
     return Member(
         host=check_address(host),
-        zone=check_text(zone),
+        zone=check_name(zone),
         incarnation=check_whole(incarnation),
         sequence=check_whole(sequence),
         state=MemberState(check_whole(state)),
@@ -181,13 +182,13 @@
     service, version, upstream_address, slots, connections, draining, *rest = encoded
     instance, born_ms = rest[:2] if rest else ("", 0)
     return UpstreamInfo(
-        service=check_text(service),
-        version=check_text(version),
+        service=check_name(service),
+        version=check_name(version),
         address=check_address(upstream_address),
         slots=check_whole(slots),
         connections=check_whole(connections),
         draining=check_flag(draining),
-        instance=check_text(instance),
+        instance=check_name(instance) if instance else "",
         born_ms=check_whole(born_ms),
     )
 
@@ -212,8 +213,8 @@
     """
     service, to_version, order_number, state, reason = encoded
     return MoveRecord(
-        check_text(service),
-        check_text(to_version),
+        check_name(service),
+        check_name(to_version),
         check_whole(order_number),
         MoveState(state),
         check_text(reason),
@@ -234,8 +235,8 @@
     """
     service, to_version, duration_s, order_number = encoded
     return Order(
-        check_text(service),
-        check_text(to_version),
+        check_name(service),
+        check_name(to_version),
         check_number(duration_s),
         check_whole(order_number),
     )
--- a/agaterelay/platform/announcements.py
+++ b/agaterelay/platform/announcements.py
@@ -5,7 +5,13 @@
 from typing import Any
 
 from agaterelay.core.announcement import Announcement
-from agaterelay.core.checked import DecodeError, check_address, check_whole, load_json
+from agaterelay.core.checked import (
+    DecodeError,
+    check_address,
+    check_name,
+    check_whole,
+    load_json,
+)
 from agaterelay.platform.units import parse_seconds
 
 PATH_PREFIX = "/v1/instances/"
@@ -27,13 +33,16 @@
         return "not JSON"
     if not isinstance(fields, dict):
         return "not an object"
-    if not instance:
-        return "no instance id"
-    for name in ("service", "address", "zone", "version"):
-        if not isinstance(fields.get(name), str) or not fields[name]:
-            return f"{name} is no text"
+    for name, value in (
+        ("instance id", instance),
+        *((name, fields.get(name)) for name in ("service", "zone", "version")),
+    ):
+        try:
+            check_name(value)
+        except DecodeError as error:
+            return f"{name} {error}"
     try:
-        check_address(fields["address"])
+        check_address(fields.get("address"))
     except DecodeError:
         return "address is no address"
     if not isinstance(fields.get("state"), str) or fields["state"] not in _STATES:
--- a/agaterelay/platform/config.py
+++ b/agaterelay/platform/config.py
@@ -10,6 +10,8 @@
 from agaterelay.core.checked import (
     MALFORMED,
     MAX_WHOLE,
+    check_name,
+    check_path,
     check_text,
     check_whole,
     load_json,
@@ -81,7 +83,7 @@
     health_paths: dict[str, str] = {}
     for number, row in enumerate(service_rows, 1):
         try:
-            health_paths[check_text(row["name"])] = check_text(
+            health_paths[check_name(row["name"])] = check_path(
                 row.get("healthPath") or "/"
             )
         except MALFORMED as error:
@@ -146,14 +148,14 @@
 
 def _decode_route(fields: Mapping[str, Any], place: Place) -> Route:
     parts = tuple(
-        (check_text(part["service"]), check_whole(part["weight"], -MAX_WHOLE))
+        (check_name(part["service"]), check_whole(part["weight"], -MAX_WHOLE))
         for part in fields.get("weightedClusters") or ()
     )
     return Route(
         name=check_text(fields["name"]),
         host=check_text(fields["host"]),
         path=check_text(fields["prefix"]),
-        service=check_text(fields.get("service") or ""),
+        service=check_name(fields["service"]) if fields.get("service") else "",
         place=place,
         methods=_ALL_METHODS,
         idempotent=fields.get("kind") == "idempotent",
--- a/agaterelay/platform/orders.py
+++ b/agaterelay/platform/orders.py
@@ -4,7 +4,7 @@
 
 import json
 
-from agaterelay.core.checked import MALFORMED, check_text, load_json
+from agaterelay.core.checked import MALFORMED, check_name, load_json
 from agaterelay.core.model import MoveState
 from agaterelay.core.trial import Order
 from agaterelay.platform.units import parse_seconds
@@ -23,8 +23,8 @@
     try:
         fields = load_json(row.value)
         return Order(
-            service=check_text(fields["service"]),
-            to_version=check_text(fields["to"]),
+            service=check_name(fields["service"]),
+            to_version=check_name(fields["to"]),
             duration_s=parse_seconds(fields["duration"]),
             number=row.version,
         )
--- a/agaterelay/platform/settings.py
+++ b/agaterelay/platform/settings.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from agaterelay.core.checked import check_name
 from agaterelay.core.deployment import Bounds, Deployment, StoreSettings
 from agaterelay.core.model import Finding, Place
 from agaterelay.platform.units import parse_seconds
@@ -110,14 +111,14 @@
     )
     address = read_setting("ip", _text) or ""
     deployment = Deployment(
-        name=read_setting("nodeName", _text),
-        zone=read_setting("zone", _text),
+        name=read_setting("nodeName", check_name),
+        zone=read_setting("zone", check_name),
         link_address=read_setting("bind.inbound", _address),
         calls_address=read_setting("bind.outbound", _address),
         announce_address=read_setting("bind.admin", _address),
         ready_address=read_setting("bind.ready", _address),
         metrics_address=f"{address}:{METRICS_PORT}",
-        service=read_setting("service", _text),
+        service=read_setting("service", check_name),
         upstream_address=read_setting("appAddr", _address),
         store=store,
         bounds=bounds,
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -3,11 +3,12 @@
 import asyncio
 
 import attrs
+import pytest
 
 from agaterelay.core.deployment import Bounds
 from agaterelay.mesh.node import stop_gracefully
-from standins.instance import expected_body
-from tests.mesh.fleet import running_fleet, send_request, wait_until
+from standins.instance import announce, expected_body
+from tests.mesh.fleet import admin_address, running_fleet, send_request, wait_until
 
 
 def test_what_is_in_flight_ends_well_and_late_requests_are_refused(monkeypatch):
@@ -79,3 +80,24 @@
             await stopping
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("version", ["v\ud83d", "v1\r\nX-Odd: 1", "v" * 15_000])
+def test_a_stop_after_an_announcement_that_cannot_be_passed_on_cuts_no_request(version):
+    async def scenario():
+        async with running_fleet(("desk", "panel")) as fleet:
+            desk, panel = fleet.hosts
+            odd = attrs.evolve(panel.instance, instance="i-odd", version=version)
+            odd.born_ms += 1
+            assert await announce(odd, admin_address(panel)) == 400
+            desk.instance.service_time_s = 0.8
+            waiting = asyncio.create_task(
+                send_request(
+                    fleet, panel, "/fire/x", "POST", headers={"X-Attempt-Id": "early"}
+                )
+            )
+            await wait_until(lambda: desk.instance.running == 1)
+            await stop_gracefully(panel.node)
+            assert (await waiting)[::2] == (200, expected_body("early"))
+
+    asyncio.run(scenario())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -3,25 +3,40 @@
 import json
 
 import attrs
+import msgpack
 import pytest
 from hypothesis import given, strategies as st
 
+from agaterelay.adapters.http_pool import render_head
+from agaterelay.core.call import Call
+from agaterelay.core.membership import Member, UpstreamInfo
 from agaterelay.core.model import MoveState
 from agaterelay.core.outcome import Answered, NotRun, Unknown
 from agaterelay.core.signals import UpstreamSignals
+from agaterelay.core.trial import MoveRecord
+from agaterelay.mesh.store_watch import MOVE_PREFIX
+from agaterelay.mesh.wire import (
+    decode_member,
+    decode_move,
+    encode_member,
+    encode_move,
+)
 from agaterelay.platform.announcements import decode_announcement, decode_born_ms
 from agaterelay.platform.config import KnownRoutes, decode_config
 from agaterelay.platform.headers import (
     decode_upstream_outcome,
     decode_upstream_signals,
     forwarded_headers,
+    upstream_headers,
 )
-from agaterelay.platform.orders import decode_order, encode_status
+from agaterelay.platform.orders import decode_order, encode_status, status_key
 from agaterelay.platform.settings import parse_deployment
 from agaterelay.platform.units import parse_seconds
 from agaterelay.ports import StoredRow
 from tests.mesh.fleet import config, route
 
+# The longest key of a row that the platform's store takes.
+MAX_KEY_BYTES = 200
 SETTINGS = {
     "nodeName": "sidecar-a-1",
     "ip": "10.1.0.38",
@@ -275,3 +290,74 @@
             ValueError, match=r"must be a duration like 1500ms or 2\.5s, not"
         ):
             parse_seconds(text)
+
+
+any_text = st.text(st.characters(exclude_categories=()), max_size=40)
+odd_text = any_text | st.sampled_from(
+    ["v\ud83d", "v1\r\nX-Odd: 1", "v\x00", "v" * 15_000]
+)
+
+
+@given(
+    odd_text,
+    st.fixed_dictionaries(
+        {name: odd_text | st.just("v1") for name in ("service", "zone", "version")}
+    ),
+    st.booleans(),
+)
+def test_an_announcement_that_is_accepted_can_be_passed_on(instance, texts, ascii):
+    body = json.dumps({**ANNOUNCEMENT, **texts}, ensure_ascii=ascii)
+    announcement = decode_announcement(instance, body.encode("utf-8", "surrogatepass"))
+    if isinstance(announcement, str):
+        return
+    upstream = UpstreamInfo(
+        announcement.service,
+        announcement.version,
+        announcement.address,
+        announcement.slots,
+        instance=announcement.instance,
+        born_ms=announcement.born_ms,
+    )
+    member = Member("10.0.0.9:7400", announcement.zone, 5, 1, upstreams=(upstream,))
+    assert (
+        decode_member(msgpack.unpackb(msgpack.packb(encode_member(member)))) == member
+    )
+    call = Call(
+        "c1", "GET", "/", (), b"", "r", announcement.service, announcement.version,
+        announcement.instance, announcement.service, True, 1, 5.0, 5.0,
+    )  # fmt: skip
+    headers = upstream_headers(call, 10)
+    head = render_head("GET", "/", headers, b"")
+    assert len(head.splitlines()) == 2 + len(headers)
+    assert b"\0" not in head
+
+
+@given(odd_text, odd_text)
+def test_an_order_that_is_accepted_can_be_written_by_its_mover(service, to_version):
+    value = json.dumps({"service": service, "to": to_version, "duration": "5s"})
+    order = decode_order(StoredRow("op", "rollout/desk", value.encode(), 3))
+    if order is None:
+        return
+    record = MoveRecord(order.service, order.to_version, 3, MoveState.DONE, "good")
+    assert decode_move(msgpack.unpackb(msgpack.packb(encode_move(record)))) == record
+    assert encode_status(MoveState.DONE, order.to_version)
+    for key in (
+        f"{MOVE_PREFIX}{order.service}/{order.to_version}",
+        status_key(order.service),
+    ):
+        assert len(key.encode()) <= MAX_KEY_BYTES
+
+
+@pytest.mark.parametrize(
+    ("column", "text"),
+    [
+        *((column, "r\ud83d") for column in ("name", "service", "prefix", "host")),
+        ("service", "r\x00\r\n"),
+        ("weightedClusters", [{"service": "r\r\n", "weight": 1}]),
+    ],
+)
+def test_a_route_with_a_text_that_cannot_be_passed_on_is_refused(column, text):
+    row = route(**{column: text})
+    table, findings = decode_config(config(3, [row]))
+    assert table is None
+    assert findings
