Let an error cost one step of a stop, a task or a link, not all after it

The announcement made a record that could not be written; that ended the process because publishing the stop is the first step of a stop and nothing caught its error.

Cause: steps that follow each other had no floor under them. The same holds on related paths: the first frames on a link (their error ended the dialer for good), the check of each link, a call of another node (no result was ever sent), the steps of the upkeep, one order of a move before the next one, a reload of the settings, a row of the store, and an answer whose head cannot be encoded (its connection stayed open without any).

Change: mesh/supervision.py runs a step and records its error (904 step_failed); the next step runs. Dialers are supervised like the other tasks. Settings nested too deeply or with an infinite number are findings instead of a traceback.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -391,14 +391,17 @@
             response = HttpResponse(item.status, (), f"{phrase}\n".encode(), True)
             self._write(render_response(response, True, "1.1", False))
             return True
+        head_only = item.method == "HEAD"
         try:
             response = await self._server.handler(item)
+            closes = response.closes or self._shutting_down or not item.keep_alive
+            rendered = render_response(response, closes, item.version, head_only)
         except Exception:
             logger.exception("request handler failed")
-            response = HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR.value, closes=True)
-        closes = response.closes or self._shutting_down or not item.keep_alive
-        head_only = item.method == "HEAD"
-        self._write(render_response(response, closes, item.version, head_only))
+            closes = True
+            response = HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR.value)
+            rendered = render_response(response, closes, item.version, head_only)
+        self._write(rendered)
         return closes
 
     def _write(self, data: bytes) -> None:
--- a/agaterelay/adapters/log.py
+++ b/agaterelay/adapters/log.py
@@ -36,6 +36,8 @@
     EventKind.REQUEST_REFUSED: 20,
     EventKind.LIBRARY_WARNING: 20,
     EventKind.LOOP_LATE: 5,
+    EventKind.STEP_FAILED: 20,
+    EventKind.TASK_FAILED: 20,
 }
 
 
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -66,6 +66,7 @@
     LOOP_LATE = (903, "Timers fired late: the CPU was busy or unavailable.")
     LOG_DROPPED = (902, "Log lines were dropped: the log's reader is too slow.")
     TASK_FAILED = (900, "A task failed and was restarted.")
+    STEP_FAILED = (904, "A step failed; the node went on with the next one.")
     LIBRARY_WARNING = (901, "A library logged a warning.")
 
     @property
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 
 from agaterelay.core.catch_up import record_held_revision
-from agaterelay.core.checked import MALFORMED, DecodeError
+from agaterelay.core.checked import DecodeError
 from agaterelay.core.feed_pacing import must_read_anew, transfer_s
 from agaterelay.events import EventKind
 from agaterelay.mesh.link import NEVER_S
@@ -164,7 +164,7 @@
     for row in {row.key: row for row in changes.rows}.values():
         try:
             apply_row(watch, row)
-        except MALFORMED as error:
+        except Exception as error:
             watch.context.record(
                 EventKind.REVISION_REFUSED,
                 reason=f"row {row.table}/{row.key}: {type(error).__name__}: {error}",
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -12,14 +12,13 @@
 
 import asyncio
 import random
-import zlib
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from agaterelay.adapters.frames import Frame, FrameConnection
 from agaterelay.core.call import Call
 from agaterelay.core.checked import (
-    MALFORMED,
     DecodeError,
     check_flag,
     check_number,
@@ -48,6 +47,7 @@
     request_table,
 )
 from agaterelay.mesh.state import revision_of
+from agaterelay.mesh.supervision import record_failed_step, run_step, supervise
 from agaterelay.mesh.views import request_differing_members, send_differing_members
 from agaterelay.mesh.wire import (
     decode_call,
@@ -130,7 +130,13 @@
     for host in wanted:
         if host not in links.links:
             link = links.links[host] = Link(host)
-            link.dialer = asyncio.create_task(_maintain_link(links, link))
+            link.dialer = asyncio.create_task(
+                supervise(
+                    links.context,
+                    f"link to {host}",
+                    partial(_maintain_link, links, link),
+                )
+            )
     for host, link in tuple(links.links.items()):
         # A link with pending calls is dropped at a later update.
         if host in wanted or (host in state.members and link.pending):
@@ -182,12 +188,20 @@
         link.last_received_s = clock.monotonic_s()
         link.pinged_s = link.last_received_s
         connection.host = link.host
-        send_hello(links, connection)
-        send_known_crashes(links.inbound.crashes, connection)
+        _greet(links, connection)
         await lost.wait()
         await clock.sleep(FIRST_REDIAL_DELAY_S * random.random())
 
 
+def _greet(links: Links, connection: FrameConnection) -> None:
+    """Send the first frames on a new connection."""
+    for step in (
+        lambda: send_hello(links, connection),
+        lambda: send_known_crashes(links.inbound.crashes, connection),
+    ):
+        run_step(links.context, "first frames of a link", step)
+
+
 def _handle_link_loss(links: Links, link: Link, reason: str) -> None:
     was_up = link.usable or bool(link.pending)
     link.connection = None
@@ -216,7 +230,7 @@
     """Handle a frame, or log that it cannot be read and go on with the next one."""
     try:
         handle(frame)
-    except (*MALFORMED, zlib.error) as error:
+    except Exception as error:
         kind = frame[0] if isinstance(frame, list) and frame else ""
         record_refused_frame(links, host, repr(kind)[:MAX_KIND_LENGTH], error)
 
@@ -273,8 +287,7 @@
 
 def _handle_accepted(links: Links, connection: FrameConnection) -> None:
     links.accepted.add(connection)
-    send_hello(links, connection)
-    send_known_crashes(links.inbound.crashes, connection)
+    _greet(links, connection)
 
 
 def _handle_accepted_loss(links: Links, connection: FrameConnection) -> None:
@@ -295,7 +308,13 @@
         outcome = NotRun("the call cannot be read", UNREADABLE_RETRY_S)
         result = CallResult(outcome, False, report_load(links.inbound))
     else:
-        result = await run_call(links.inbound, call)
+        try:
+            result = await run_call(links.inbound, call)
+        except Exception as error:
+            record_failed_step(links.context, "run a call", error)
+            # It may have run, for all that is known.
+            outcome = Unknown("the upstream's node failed")
+            result = CallResult(outcome, True, report_load(links.inbound))
     connection.send(
         [Frame.RESULT, number, encode_result(result), revision_of(links.state)]
     )
@@ -421,11 +440,15 @@
         if links.outdated:
             update_links(links)
         now_s = clock.monotonic_s()
-        for link in links.links.values():
+        for link in tuple(links.links.values()):
             if link.connection is not None:
-                _check_link(links, link, now_s)
-        request_differing_members(links)
-        request_table(links)
+                run_step(
+                    links.context,
+                    f"check the link to {link.host}",
+                    partial(_check_link, links, link, now_s),
+                )
+        for request in (request_differing_members, request_table):
+            run_step(links.context, request.__name__, partial(request, links))
 
 
 def _check_link(links: Links, link: Link, now_s: float) -> None:
--- a/agaterelay/mesh/mover.py
+++ b/agaterelay/mesh/mover.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 import msgpack
@@ -38,6 +39,7 @@
     versions_of,
 )
 from agaterelay.mesh.store_watch import FLEET_TABLE, MOVE_PREFIX
+from agaterelay.mesh.supervision import await_step
 from agaterelay.mesh.wire import decode_move, encode_move, load_row
 from agaterelay.ports import PlatformError, StoredRow
 
@@ -76,7 +78,11 @@
             continue
         for order in tuple(mover.state.orders.values()):
             if is_turn(mover, order):
-                await step(mover, order)
+                await await_step(
+                    mover.context,
+                    f"move of {order.service}",
+                    partial(step, mover, order),
+                )
 
 
 def is_turn(mover: Mover, order: Order) -> bool:
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -43,8 +43,8 @@
 )
 from agaterelay.mesh.state import MeshState, NodeContext
 from agaterelay.mesh.store_watch import StoreWatch
+from agaterelay.mesh.supervision import await_step, run_step, supervise
 
-RESTART_DELAY_S = 0.2
 # A host's callers keep some tens of connections open; a process may have at most 3,900.
 # Above the first value a connection is closed after a refusal, above the second after any
 # response.
@@ -170,25 +170,14 @@
         due_s = clock.monotonic_s() + UPKEEP_PERIOD_S
         await clock.sleep(UPKEEP_PERIOD_S)
         record_loop_lag(node, clock.monotonic_s() - due_s)
-        update_readers(node.watch)
-        update_budget_slack(node.outbound, node.context.deployment.bounds.retry_slack)
-        expire_silent_upstream(node.watch, node.inbound)
-
-
-async def supervise(
-    context: NodeContext, name: str, start: Callable[[], Coroutine[Any, Any, None]]
-) -> None:
-    """Run a task; record it when it fails, and restart it after a delay."""
-    while True:
-        try:
-            await start()
-        except Exception as error:
-            context.record(
-                EventKind.TASK_FAILED,
-                task=name,
-                error=f"{type(error).__name__}: {error}",
-            )
-        await context.clock.sleep(RESTART_DELAY_S)
+        for step in (
+            lambda: update_readers(node.watch),
+            lambda: update_budget_slack(
+                node.outbound, node.context.deployment.bounds.retry_slack
+            ),
+            lambda: expire_silent_upstream(node.watch, node.inbound),
+        ):
+            run_step(node.context, "upkeep", step)
 
 
 def start_tasks(node: Node) -> list[asyncio.Task[None]]:
@@ -230,9 +219,15 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: asyncio.ensure_future(reload()))
+
+    def reload_safely() -> Coroutine[Any, Any, None]:
+        return await_step(node.context, "reload", reload)
+
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: asyncio.ensure_future(reload_safely())
+    )
     if reload_was_asked():
-        await reload()
+        await reload_safely()
     deployment = node.context.deployment
     await start_links(node.links)
     listening = Listening()
@@ -250,10 +245,14 @@
     gc.collect()
     gc.freeze()
     await stopping.wait()
-    await stop_gracefully(node)
+    await await_step(node.context, "stop", lambda: stop_gracefully(node))
     for task in tasks:
         task.cancel()
-    await stop_listening(listening, STOP_MARGIN_S / 2)
+    await await_step(
+        node.context,
+        "close connections",
+        lambda: stop_listening(listening, STOP_MARGIN_S / 2),
+    )
     node.context.record(EventKind.NODE_STOPPED)
 
 
@@ -275,8 +274,8 @@
         calls_in_flight=node.inbound.in_flight,
         requests_in_flight=node.outbound.in_flight,
     )
-    publish_stopping(node.watch)
-    apply_upstream_state(node.inbound)
+    run_step(node.context, "publish the stop", lambda: publish_stopping(node.watch))
+    run_step(node.context, "refuse calls", lambda: apply_upstream_state(node.inbound))
     while True:
         await clock.sleep(STOP_POLL_S)
         now_s = clock.monotonic_s()
@@ -285,5 +284,7 @@
             break
         if node.closing and not node.outbound.in_flight and not node.inbound.in_flight:
             break
-    end_requests_in_flight(node.outbound)
+    run_step(
+        node.context, "end requests", lambda: end_requests_in_flight(node.outbound)
+    )
     await clock.sleep(FINAL_RESPONSES_DELAY_S)
--- a/agaterelay/mesh/servers.py
+++ b/agaterelay/mesh/servers.py
@@ -57,8 +57,16 @@
 
 
 async def stop_listening(listening: Listening, timeout_s: float) -> None:
-    """Stop all servers; requests still in flight after ``timeout_s`` are aborted."""
-    await asyncio.gather(*(item.stop(timeout_s) for item in listening.servers))
+    """Stop all servers; requests still in flight after ``timeout_s`` are aborted.
+
+    An error of one server is raised once all have stopped.
+    """
+    ends = await asyncio.gather(
+        *(item.stop(timeout_s) for item in listening.servers), return_exceptions=True
+    )
+    for error in ends:
+        if isinstance(error, Exception):
+            raise error
 
 
 def abort_all(servers: Iterable[HttpServer]) -> None:
--- a/agaterelay/platform/settings.py
+++ b/agaterelay/platform/settings.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from agaterelay.core.checked import check_name
+from agaterelay.core.checked import check_name, check_number
 from agaterelay.core.deployment import Bounds, Deployment, StoreSettings
 from agaterelay.core.model import Finding, Place
 from agaterelay.platform.units import parse_seconds
@@ -42,7 +42,7 @@
 def _number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
         raise ValueError(f"must be a number from 0, not {value!r}")
-    return float(value)
+    return float(check_number(value))
 
 
 def _flag(value: Any) -> bool:
@@ -70,7 +70,7 @@
     """Parse and check the text of a settings file; unknown fields are ignored."""
     try:
         tree = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         line = getattr(error, "lineno", 1)
         return None, (Finding(Place(filename, line), f"is not JSON: {error}"),)
     findings: list[Finding] = []
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -316,3 +316,17 @@
             assert ended == ["/first"]
 
     run(scenario)
+
+
+def test_an_answer_that_cannot_be_written_is_replaced_by_a_failure():
+    async def answer_oddly(request):
+        return HttpResponse(200, (("X-Odd", "\u2028"),), b"body")
+
+    async def scenario():
+        async with serving(answer_oddly) as (_, connect):
+            reader, writer = await connect()
+            writer.write(get("/a"))
+            status, headers, _ = await read_answer(reader)
+            assert (status, headers["connection"]) == (500, "close")
+
+    run(scenario)
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -204,6 +204,20 @@
     return host
 
 
+def record_events(host, kinds):
+    """Return a list to which events of some kinds of a host's node are appended."""
+    found = []
+    record = host.node.context.record
+
+    def keep(kind, **fields):
+        if kind in kinds:
+            found.append((kind, fields))
+        record(kind, **fields)
+
+    host.node.context.record = keep
+    return found
+
+
 async def start_node(host):
     """Start a host's node without any state from an earlier run."""
     host.store = StoreClient(host.deployment.store.address)
--- a/tests/mesh/test_links.py
+++ b/tests/mesh/test_links.py
@@ -4,9 +4,11 @@
 
 from agaterelay.core.membership import Member
 from agaterelay.events import EventKind
+from agaterelay.mesh import links as mesh_links
 from agaterelay.mesh.links import update_links
 from tests.mesh.fleet import (
     free_address,
+    record_events,
     route,
     running_fleet,
     send_request,
@@ -87,3 +89,62 @@
             assert sum(len(host.instance.started_calls) for host in fleet.hosts) == 2
 
     asyncio.run(scenario())
+
+
+def test_a_first_frame_that_cannot_be_written_ends_neither_the_link_nor_its_dialer(
+    monkeypatch,
+):
+    def fail(*values):
+        raise UnicodeEncodeError("utf-8", "v\ud83d", 1, 2, "surrogates not allowed")
+
+    async def scenario():
+        async with running_fleet(("panel", "desk")) as fleet:
+            first, second = fleet.hosts
+            link = first.node.links.links[second.deployment.link_address]
+            found = record_events(first, {EventKind.STEP_FAILED})
+            with monkeypatch.context() as patched:
+                patched.setattr("agaterelay.mesh.links.send_hello", fail)
+                link.connection.abort()
+                await wait_until(lambda: found)
+            link.connection.abort()
+            await wait_until(lambda: not link.usable)
+            await wait_until(lambda: link.usable)
+            assert (await send_request(fleet, first))[0] == 200
+
+    asyncio.run(scenario())
+
+
+def test_a_link_whose_check_fails_does_not_keep_others_from_being_checked(monkeypatch):
+    async def scenario():
+        async with running_fleet(("panel", "desk", "desk")) as fleet:
+            links = fleet.hosts[0].node.links
+            first, second = links.links.values()
+            check = mesh_links._check_link
+
+            def fail_for_first(links, link, now_s):
+                if link is first:
+                    raise RuntimeError("odd")
+                check(links, link, now_s)
+
+            monkeypatch.setattr(mesh_links, "_check_link", fail_for_first)
+            heard_s = second.last_received_s
+            await wait_until(lambda: second.last_received_s > heard_s)
+
+    asyncio.run(scenario())
+
+
+def test_a_call_that_the_other_node_fails_to_run_is_answered_at_once(monkeypatch):
+    async def scenario():
+        async with running_fleet(("panel", "desk")) as fleet:
+            monkeypatch.setattr(mesh_links, "run_call", fail_to_run)
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            status, _, _ = await send_request(fleet, fleet.hosts[0], "/fire/x", "POST")
+            assert status == 502
+            assert loop.time() - began_s < 0.5
+
+    asyncio.run(scenario())
+
+
+async def fail_to_run(inbound, call):
+    raise RuntimeError("odd")
--- a/tests/mesh/test_odd_entries.py
+++ b/tests/mesh/test_odd_entries.py
@@ -30,6 +30,7 @@
     ROUTES,
     admin_address,
     config as make_config,
+    record_events,
     running_fleet,
     wait_until,
 )
@@ -193,20 +194,6 @@
     assert isinstance(announcements.decode_announcement("i-9", body), str)
 
 
-def record_events(host, kinds):
-    """Return a list to which events of some kinds of a host's node are appended."""
-    found = []
-    record = host.node.context.record
-
-    def keep(kind, **fields):
-        if kind in kinds:
-            found.append((kind, fields))
-        record(kind, **fields)
-
-    host.node.context.record = keep
-    return found
-
-
 def test_odd_rows_among_those_of_the_hosts_cost_one_log_line_each():
     rows = {f"member/10.9.0.{n}:7400": msgpack.packb(item) for n, item in odd_rows()}
     rows["member/10.9.1.1:7400"] = DEEP_MSGPACK
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -6,9 +6,16 @@
 import pytest
 
 from agaterelay.core.deployment import Bounds
+from agaterelay.events import EventKind
 from agaterelay.mesh.node import stop_gracefully
 from standins.instance import announce, expected_body
-from tests.mesh.fleet import admin_address, running_fleet, send_request, wait_until
+from tests.mesh.fleet import (
+    admin_address,
+    record_events,
+    running_fleet,
+    send_request,
+    wait_until,
+)
 
 
 def test_what_is_in_flight_ends_well_and_late_requests_are_refused(monkeypatch):
@@ -101,3 +108,31 @@
             assert (await waiting)[::2] == (200, expected_body("early"))
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "step", ["publish_stopping", "apply_upstream_state", "end_requests_in_flight"]
+)
+def test_a_step_of_a_stop_that_fails_ends_neither_the_stop_nor_its_requests(
+    monkeypatch, step
+):
+    def fail(*values):
+        raise RuntimeError(step)
+
+    async def scenario():
+        async with running_fleet(("desk", "panel")) as fleet:
+            desk, panel = fleet.hosts
+            found = record_events(panel, {EventKind.STEP_FAILED})
+            desk.instance.service_time_s = 0.8
+            waiting = asyncio.create_task(
+                send_request(
+                    fleet, panel, "/fire/x", "POST", headers={"X-Attempt-Id": "early"}
+                )
+            )
+            await wait_until(lambda: desk.instance.running == 1)
+            monkeypatch.setattr(f"agaterelay.mesh.node.{step}", fail)
+            await stop_gracefully(panel.node)
+            assert (await waiting)[::2] == (200, expected_body("early"))
+            assert [fields["error"] for _, fields in found] == [f"RuntimeError: {step}"]
+
+    asyncio.run(scenario())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -68,6 +68,20 @@
 }
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[" * 100_000,
+        json.dumps({**SETTINGS, "limits": {"linkMbps": float("inf")}}),
+        json.dumps({**SETTINGS, "zone": "a\r\n"}),
+    ],
+)
+def test_settings_that_cannot_be_read_are_found_invalid(text):
+    deployment, findings = parse_deployment(text, "boot.json")
+    assert deployment is None
+    assert findings
+
+
 def test_settings_become_a_deployment():
     deployment, findings = parse_deployment(json.dumps(SETTINGS), "boot.json")
     assert not findings
