Keep the parts of a body in one buffer

What operators of other systems reported: a faulty instance sent bytes without end; the machine that had called it ran out of memory, and other clients' requests ended with it. It could happen here.

Cause: bytes were counted, the objects that held them were not. The parts of a chunked body were kept in a list, and a part of 2 bytes takes some 50 bytes there. The limit of 16 MB for an answer thus allowed some 450 MB. Bodies of callers were kept in the same way.

Tests: chunks of 1 and 2 bytes to a peak of over 8 MB for answers of 2 MB failed; the one for callers' bodies was written after this change.

Change: both bodies are one growing buffer.

The loop is still held up to 0.4 s by eight such answers at once, as before.

--- a/agaterelay/adapters/http_pool.py
+++ b/agaterelay/adapters/http_pool.py
@@ -120,7 +120,8 @@
 
     def _reset_response(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # A list of the parts would take many times the memory of small ones.
+        self._body = bytearray()
         self._size_bytes = 0
         self._memory.release(self)
         self._headers_complete = False
@@ -261,7 +262,7 @@
         if self._size_bytes > MAX_RESPONSE_BYTES:
             self.abort("the answer is too large")
             return
-        self._body.append(chunk)
+        self._body += chunk
         self._memory.add(self, len(chunk))
 
     def on_message_complete(self) -> None:
@@ -294,7 +295,7 @@
             self.reusable = False
         if not waiter.done():
             waiter.set_result(
-                ReceivedResponse(status, tuple(self._headers), b"".join(self._body))
+                ReceivedResponse(status, tuple(self._headers), bytes(self._body))
             )
         self._reset_response()
 
--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -224,8 +224,8 @@
     def _begin_request(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # A list of the parts would take many times the memory of small ones.
+        self._body = bytearray()
         self._head_bytes = 0
         self._unparsed_head_bytes = 0
         self._in_head = True
@@ -329,11 +329,10 @@
         """Store a part of the body."""
         if self._reading_ended:
             return
-        self._body_bytes += len(part)
-        if self._body_bytes > self._limits.max_body_bytes:
+        if len(self._body) + len(part) > self._limits.max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
             return
-        self._body.append(part)
+        self._body += part
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -344,7 +343,7 @@
             method=self._parser.get_method().decode("ascii"),
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
-            body=b"".join(self._body),
+            body=bytes(self._body),
             received_s=self._last_received_s,
             keep_alive=self._parser.should_keep_alive(),
             version=self._parser.get_http_version(),
--- a/tests/adapters/test_http_pool.py
+++ b/tests/adapters/test_http_pool.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import itertools
+import tracemalloc
 
 import pytest
 
@@ -184,3 +185,47 @@
                 assert (await waiting).body == b"bod"
 
     asyncio.run(scenario())
+
+
+MAX_PEAK_RATIO = 4
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+MEGABYTE_CHUNK = b"100000\r\n" + b"a" * (1 << 20) + b"\r\n"
+PIECES_WITHOUT_END = {
+    "chunks of 1 byte": (CHUNKED, b"1\r\na\r\n" * 2048),
+    "chunks of 2 bytes": (CHUNKED, b"2\r\nab\r\n" * 2048),
+    "chunks of 15 bytes": (CHUNKED, (b"f\r\n" + b"a" * 15 + b"\r\n") * 512),
+}
+
+
+# Guards against pieces whose objects take many times the memory of their bytes.
+@pytest.mark.parametrize("kind", PIECES_WITHOUT_END)
+def test_pieces_without_end_take_little_more_memory_than_the_longest_answer(
+    kind, monkeypatch
+):
+    longest_bytes = 2 << 20
+    monkeypatch.setattr(
+        "agaterelay.adapters.http_pool.MAX_RESPONSE_BYTES", longest_bytes
+    )
+
+    async def scenario():
+        first, rest = PIECES_WITHOUT_END[kind]
+        connection = PooledConnection(
+            b"x-id", lambda lost: None, ResponseMemory(MAX_BUFFERED_BYTES), 1000
+        )
+        connection._transport = FakeTransport()
+        waiting = connection.send(b"GET /x HTTP/1.1\r\n\r\n", b"", b"one", False)
+        tracemalloc.start()
+        try:
+            connection.data_received(first)
+            for _ in range(16 * longest_bytes // len(rest)):
+                connection.data_received(rest)
+                if not connection.open:
+                    break
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        with pytest.raises(AnswerLostError):
+            await waiting
+        assert peak_bytes < MAX_PEAK_RATIO * longest_bytes
+
+    asyncio.run(scenario())
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pytest
 
@@ -330,3 +331,28 @@
             assert (status, headers["connection"]) == (500, "close")
 
     run(scenario)
+
+
+# Guards against pieces whose objects take many times the memory of their bytes.
+def test_a_body_in_small_pieces_takes_little_more_memory_than_its_bytes():
+    longest_bytes = 1 << 20
+
+    async def scenario():
+        async with serving(echo, max_body_bytes=longest_bytes) as (server, connect):
+            _, writer = await connect()
+            writer.write(b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+            async with asyncio.timeout(TIMEOUT_S):
+                while not server.connections:
+                    await asyncio.sleep(0.01)
+            (connection,) = server.connections
+            piece = b"1\r\na\r\n" * 1024
+            tracemalloc.start()
+            try:
+                for _ in range(longest_bytes // 1024 - 1):
+                    connection.data_received(piece)
+                peak_bytes = tracemalloc.get_traced_memory()[1]
+            finally:
+                tracemalloc.stop()
+            assert peak_bytes < 4 * longest_bytes
+
+    run(scenario)
