Wait for the head in the test of a body in small pieces

The test fed the pieces before the request's head had been read, so the request was refused and the test passed on the old code too. It now waits, checks that the body was kept, and fails on the old code (a list of parts instead of one buffer).

--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -342,10 +342,10 @@
             _, writer = await connect()
             writer.write(b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
             async with asyncio.timeout(TIMEOUT_S):
-                while not server.connections:
+                while not any(item._in_body for item in server.connections):
                     await asyncio.sleep(0.01)
             (connection,) = server.connections
-            piece = b"1\r\na\r\n" * 1024
+            piece = b"2\r\nab\r\n" * 512
             tracemalloc.start()
             try:
                 for _ in range(longest_bytes // 1024 - 1):
@@ -353,6 +353,7 @@
                 peak_bytes = tracemalloc.get_traced_memory()[1]
             finally:
                 tracemalloc.stop()
+            assert len(connection._body) > longest_bytes - 2048
             assert peak_bytes < 4 * longest_bytes
 
     run(scenario)
