Bound what an answer may have between two parts of its body

What callers would see: the same as with endless small chunks, the loss of the node.

Cause: the bytes outside bodies were limited by the bytes of the bodies before them, so that small chunks pass. A body of 1 MB thus allowed 8 MB of trailers, or of header lines of a later answer, one of 16 MB 128 MB; each short line takes some 190 bytes as objects. Trailers were kept although nothing uses them.

Evidence: by hand over loopback, one call, endless trailers after 1 MB: 172 MB. Three of the new tests failed before: trailers, a trailer's value, header lines after the body of another answer, peaks of 18 to 136 MB where 8 MB are allowed.

Change: without a part of a body in between, the limit stays 64 KB; trailers are dropped.

--- a/agaterelay/adapters/http_pool.py
+++ b/agaterelay/adapters/http_pool.py
@@ -29,8 +29,9 @@
 # way to the caller.
 MAX_RESPONSE_BYTES = 16 << 20
 MAX_BUFFERED_BYTES = 32 << 20
-# Limit per call on received bytes outside bodies: heads, chunk sizes and trailers. Small
-# chunks need framing of several times their own size.
+# Limit on received bytes outside bodies: heads, chunk sizes and trailers. It holds between
+# two parts of bodies, and per call. Small chunks need framing of several times their own
+# size, so that the bytes of bodies raise the limit of a call.
 MAX_FRAMING_BYTES = 64 << 10
 FRAMING_BYTES_PER_BODY_BYTE = 8
 # Includes interim (1xx) responses and late responses to other calls.
@@ -100,7 +101,7 @@
         self._user_timeout_ms = user_timeout_ms
         self._on_lost = on_lost
         self._memory = memory
-        self._framing_bytes = 0
+        self._framing_bytes = self._framing_since_body_bytes = 0
         self._body_bytes = 0
         self._response_count = 0
         self._transport: asyncio.Transport | None = None
@@ -158,7 +159,8 @@
             raise NotSentError("the connection was closed")
         self._call_id = call_id
         self._head_only = head_only
-        self._framing_bytes = self._body_bytes = self._response_count = 0
+        self._framing_bytes = self._framing_since_body_bytes = 0
+        self._body_bytes = self._response_count = 0
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(head + body if body else head)
         return self._waiter
@@ -187,9 +189,17 @@
         ) as error:
             self.abort(f"not an answer: {type(error).__name__}")
             return
-        self._framing_bytes += len(data) - (self._body_bytes - body_bytes_before)
+        framing_bytes = len(data) - (self._body_bytes - body_bytes_before)
+        self._framing_bytes += framing_bytes
+        if self._body_bytes > body_bytes_before:
+            self._framing_since_body_bytes = 0
+        else:
+            self._framing_since_body_bytes += framing_bytes
         allowed_bytes = FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
-        if self._framing_bytes > MAX_FRAMING_BYTES + allowed_bytes:
+        if (
+            self._framing_bytes > MAX_FRAMING_BYTES + allowed_bytes
+            or self._framing_since_body_bytes > MAX_FRAMING_BYTES
+        ):
             self.abort("more framing than an answer has")
 
     def abort(self, reason: str) -> None:
@@ -230,8 +240,9 @@
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header of the current response."""
-        self._headers.append((name, value))
+        """Store a header of the current response; trailers are dropped."""
+        if not self._headers_complete:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited and how long the connection may idle."""
--- a/tests/adapters/test_http_pool.py
+++ b/tests/adapters/test_http_pool.py
@@ -194,6 +194,17 @@
     "chunks of 1 byte": (CHUNKED, b"1\r\na\r\n" * 2048),
     "chunks of 2 bytes": (CHUNKED, b"2\r\nab\r\n" * 2048),
     "chunks of 15 bytes": (CHUNKED, (b"f\r\n" + b"a" * 15 + b"\r\n") * 512),
+    "trailers after a body": (CHUNKED + MEGABYTE_CHUNK + b"0\r\n", b"a:\r\n" * 4096),
+    "a trailer's value after a body": (
+        CHUNKED + MEGABYTE_CHUNK + b"0\r\nX-Long: ",
+        PART,
+    ),
+    "header lines after the body of another answer": (
+        b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 1048576\r\n\r\n"
+        + b"a" * (1 << 20)
+        + HEAD,
+        b"a:\r\n" * 4096,
+    ),
 }
 
 
