--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -23,7 +23,10 @@
     REVISION_REQUESTED = (207, "A node requested a newer revision from another one.")
     PLATFORM_LOST = (210, "The platform does not respond.")
     PLATFORM_BACK = (211, "The platform responds again.")
-    WATCH_CHANGED = (213, "The zone's readers or the store's reachability changed.")
+    WATCH_CHANGED = (
+        213,
+        "The zone's readers or lead, or the store's reachability changed.",
+    )
     STORE_ANSWER_TIME = (214, "The store began or ceased to answer slowly.")
     FLOOR_KNOWN = (212, "A restarted node learned the lowest revision it may serve.")
     MEMBER_CHANGED = (300, "A host's member record changed.")
--- a/agaterelay/mesh/readers.py
+++ b/agaterelay/mesh/readers.py
@@ -153,10 +153,11 @@
         update_links(watch.links)
     renew_long_polls(watch)
     watching = must_watch(watch) and _store_is_answering(watch)
-    if not changed and watching == state.watching:
+    leading = leads_zone(watch)
+    if not changed and (watching, leading) == (state.watching, watch.leading):
         return
     should_notify = watching != state.watching
-    state.watching = watching
+    state.watching, watch.leading = watching, leading
     _log_watch(watch, len(hosts))
     if should_notify:
         broadcast_to_zone(watch.links, [], [])
@@ -250,6 +251,7 @@
     watch.context.record(
         EventKind.WATCH_CHANGED,
         watching=watch.state.watching,
+        leading=watch.leading,
         readers=watch.state.readers if watch.state.has_standbys else "all",
         reachable=reachable,
         lost=sorted(watch.lost),
--- a/agaterelay/mesh/store_watch.py
+++ b/agaterelay/mesh/store_watch.py
@@ -47,7 +47,8 @@
     all on the steady clock. ``open_polls`` are the time-outs of the open long polls, by which
     a poll is begun anew before its answer. ``call_s`` is how long the call took that was answered last,
     and ``answer_time`` what these calls say of the store.
-    ``read_s`` is when both tables had been read for the first time.
+    ``read_s`` is when both tables had been read for the first time. ``leading`` is whether
+    this node is the lead of a small zone, as logged last.
     """
 
     context: NodeContext
@@ -66,6 +67,7 @@
     call_s: dict[str, float] = attrs.field(factory=dict)
     answer_time: AnswerTime = attrs.field(factory=AnswerTime)
     read_s: float = NEVER_S
+    leading: bool = False
 
 
 def record_store_lost(watch: StoreWatch, table: str, reason: str) -> None:
