Require a probe or lasting announcements of an upstream after a restart

Cause: after a restart a first announcement needs a probe, but any second one was believed without. The node has forgotten the withdrawal, and nothing bounds how many announcements are late.

Change: until one probe succeeds each announcement is probed. Without it they have to go on for 6 s, so that an upstream that only fails its health check is used again.

--- a/agaterelay/core/announcement.py
+++ b/agaterelay/core/announcement.py
@@ -54,8 +54,10 @@
 
     ``departed`` are the most recent starts that announced that they leave, oldest first.
     ``unconfirmed`` is set after a restart, when it is not known what this node had
-    confirmed before: the first announcement may then be a delayed one, so that a second
-    one has to follow it.
+    confirmed before. Announcements may then be delayed ones of a start that has left, also
+    several of them, so that either the upstream's own answer confirms them, or they have to
+    go on for ``CONFIRMING_S``. ``confirming_since_s`` is when the first one of the current
+    start came.
     """
 
     current: Announcement | None = None
@@ -63,9 +65,12 @@
     last_received_s: float = 0.0
     departed: dict[tuple[str, int], None] = attrs.field(factory=dict)
     unconfirmed: bool = False
+    confirming_since_s: float = 0.0
 
 
 MAX_DEPARTED_COUNT = 64
+# Longer than announcements are delayed on their way.
+CONFIRMING_S = 6.0
 
 
 def apply_announcement(
@@ -89,10 +94,13 @@
     if announcement.draining:
         record_departed(record, start)
         return _change_state(record, UpstreamState.DRAINING) or current != announcement
-    if record.unconfirmed and current is None:
-        return False
-    record.unconfirmed = False
     same = current is not None and (current.instance, current.born_ms) == start
+    if record.unconfirmed:
+        if not same:
+            record.confirming_since_s = now_s
+        if now_s - record.confirming_since_s < CONFIRMING_S:
+            return False
+    record.unconfirmed = False
     return _change_state(record, UpstreamState.READY) or not same
 
 
--- a/agaterelay/mesh/announcements.py
+++ b/agaterelay/mesh/announcements.py
@@ -61,8 +61,8 @@
 async def _confirm_by_probe(watch: StoreWatch, inbound: Inbound, instance: str) -> bool:
     """Probe whether the upstream is running and not about to leave.
 
-    A restarted node does not know which announcements it confirmed before, so the first
-    one may be out of date. If the probe fails, a second announcement is required.
+    A restarted node does not know which announcements it confirmed before, so those that
+    come may be out of date. If the probe fails, the next announcement is probed.
     """
     await _await_table(watch)
     table = watch.state.table
--- a/tests/mesh/test_restarts.py
+++ b/tests/mesh/test_restarts.py
@@ -39,6 +39,29 @@
     asyncio.run(scenario())
 
 
+# Guards against two delayed announcements that confirm each other.
+def test_a_killed_node_brings_no_leaving_instance_back_by_two_announcements():
+    async def scenario():
+        async with running_fleet() as fleet:
+            host = fleet.hosts[0]
+            await announce(host.instance, admin_address(host))
+            old_sequence = host.instance.sequence
+            host.instance.leaving = True
+            await withdraw(host.instance, admin_address(host))
+            calls_before = sum(host.instance.ran.values())
+            await restart_node(host)
+            await wait_until(lambda: host.node.state.table is not None)
+            for sequence in (old_sequence - 1, old_sequence):
+                await announce(host.instance, admin_address(host), "ready", sequence)
+            await asyncio.sleep(0.3)
+            for _ in range(10):
+                await send_request(fleet, fleet.hosts[1])
+                await send_request(fleet, host)
+            assert sum(host.instance.ran.values()) == calls_before
+
+    asyncio.run(scenario())
+
+
 def test_the_same_with_the_store_down_all_the_while():
     async def scenario():
         async with running_fleet() as fleet:
