Let a stop wait for answers that callers are still reading

Cause: a request counted as ended once its answer had been handed to the transport. The stop ended when none was in flight, and the server then aborted its connections, also those whose transport still held an answer. The same holds for results on links between nodes, and for a connection that is closed with a request unread behind the answer: it was aborted 1 s later, whatever the caller had read.

Change: a stop goes on until all answers and results have been read, at most until it would give up requests; the servers wait for them for what is left. A lingering close goes on for as long as its caller reads.

--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -119,6 +119,11 @@
         """Whether the link accepts frames."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The size of the frames that the peer has not read yet."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
     def send(self, frame: list[Any]) -> bool:
         """Send a frame; return False if the link is closed."""
         if not self.open:
--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -28,8 +28,10 @@
 # for a little longer than the limit.
 IDLE_MARGIN_S = 2.0
 # After an answer that leaves bytes unread, they are read and discarded for this long. A
-# close with unread bytes would reset the connection before the caller has the answer.
+# close with unread bytes would reset the connection before the caller has the answer. It
+# goes on for as long as the caller reads the answer.
 LINGERING_READ_S = 1.0
+STOP_POLL_S = 0.02
 # Reading is paused at the first number of requests that wait for their turn on one
 # connection, and resumed at the second.
 MAX_WAITING_REQUESTS = 32
@@ -172,12 +174,20 @@
             backlog=BACKLOG,
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The size of the answers that callers have not read yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
     async def stop(self, timeout_s: float) -> None:
         """Accept no connection, and close those that are open.
 
         Args:
-            timeout_s: How long requests in progress are waited for, in seconds.
+            timeout_s: How long requests in progress, and callers that read their
+                answers, are waited for, in seconds.
         """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
@@ -185,6 +195,8 @@
         tasks = [item.task for item in self.connections if item.task is not None]
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
+        while self.unsent_bytes and loop.time() < end_s:
+            await asyncio.sleep(STOP_POLL_S)
         self.abort()
 
     def abort(self) -> None:
@@ -427,7 +439,24 @@
         self.transport.write_eof()
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(LINGERING_READ_S, self.abort)
+        self._timer = self._loop.call_later(
+            LINGERING_READ_S, self._end_lingering, self.unsent_bytes
+        )
+
+    def _end_lingering(self, unsent_before_bytes: int) -> None:
+        """Close the connection unless its caller has read on meanwhile."""
+        unsent_bytes = self.unsent_bytes
+        if not 0 < unsent_bytes < unsent_before_bytes:
+            self.abort()
+            return
+        self._timer = self._loop.call_later(
+            LINGERING_READ_S, self._end_lingering, unsent_bytes
+        )
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The size of the answers that the caller has not read yet."""
+        return self.transport.get_write_buffer_size() if self.transport else 0
 
     def shut_down(self) -> None:
         """Close the connection after the request in progress, at once if it is idle."""
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -256,12 +256,21 @@
     node.context.record(EventKind.NODE_STOPPED)
 
 
+def _is_busy(node: Node) -> bool:
+    """Return whether requests are in flight, or answers are still being read."""
+    if node.outbound.in_flight or node.inbound.in_flight:
+        return True
+    if node.callers is not None and node.callers.unsent_bytes:
+        return True
+    return any(connection.unsent_bytes for connection in node.links.accepted)
+
+
 async def stop_gracefully(node: Node) -> None:
     """Stop accepting work, and finish what is in flight within the grace period.
 
     Requests are taken until callers have had time to change to other nodes, and a little
     longer if they end in time. Later ones are refused, and the process ends as soon as
-    nothing is in flight.
+    nothing is in flight and all answers have been read.
     """
     clock = node.context.clock
     began_s = clock.monotonic_s()
@@ -282,7 +291,7 @@
         node.closing = now_s - began_s >= MIN_STOP_S
         if now_s >= stop.give_up_s:
             break
-        if node.closing and not node.outbound.in_flight and not node.inbound.in_flight:
+        if node.closing and not _is_busy(node):
             break
     run_step(
         node.context, "end requests", lambda: end_requests_in_flight(node.outbound)
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -32,6 +32,8 @@
 
     A call of ``deadly_path`` ends the instance. ``crash_count`` counts its ends.
 
+    An answer has ``body_bytes`` bytes if that is not 0, else the expected body.
+
     ``answer_headers`` are added to every answer, each with its own value, as they are.
 
     ``ran`` counts how often each call id ran. ``heads`` and ``bodies`` are the requests of
@@ -49,6 +51,7 @@
     fault: str = ""
     deadly_path: str = ""
     crash_count: int = 0
+    body_bytes: int = 0
     answer_headers: list[tuple[str, str]] = attrs.field(factory=list)
     ran: Counter[str] = attrs.field(factory=Counter)
     # For each call: its start on the monotonic clock, in seconds, the ``born_ms`` of the
@@ -229,7 +232,7 @@
 
 def _answer(instance: Instance, call_id: str, writer: asyncio.StreamWriter) -> None:
     headers = {"X-Attempt-Id": call_id, "X-Server-Seal": f"seal.{instance.instance}"}
-    body = expected_body(call_id)
+    body = b"a" * instance.body_bytes or expected_body(call_id)
     fault = instance.fault
     if fault == "error":
         _write(writer, 500, headers, b"failed", instance.answer_headers)
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -2,11 +2,16 @@
 
 import asyncio
 import contextlib
+import socket
 import tracemalloc
 
 import pytest
 
-from agaterelay.adapters.http_server import HttpResponse, HttpServer
+from agaterelay.adapters.http_server import (
+    LINGERING_READ_S,
+    HttpResponse,
+    HttpServer,
+)
 from agaterelay.core.model import CallerLimits
 
 TIMEOUT_S = 5.0
@@ -357,3 +362,27 @@
             assert peak_bytes < 4 * longest_bytes
 
     run(scenario)
+
+
+def test_an_answer_that_is_still_being_read_is_not_cut_by_the_end_of_its_connection():
+    body = b"b" * (12 << 20)
+
+    async def answer_largely(request):
+        return HttpResponse(200, (), body, closes=True)
+
+    async def scenario():
+        async with serving(answer_largely) as (server, _):
+            connection = socket.socket()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            connection.connect(server._server.sockets[0].getsockname())
+            reader, writer = await asyncio.open_connection(sock=connection, limit=4096)
+            # The second request leaves bytes unread when the first answer closes.
+            writer.write(get("/a") + get("/b"))
+            await reader.readuntil(b"\r\n\r\n")
+            for part in range(14):
+                await asyncio.sleep(LINGERING_READ_S / 10)
+                assert await reader.readexactly(1 << 18), part
+            assert len(await read_to_end(reader)) == len(body) - 14 * (1 << 18)
+            writer.close()
+
+    run(scenario)
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -1,13 +1,15 @@
 """A planned stop interrupts no request, and ends within the grace period."""
 
 import asyncio
+import socket
 
 import attrs
 import pytest
 
 from agaterelay.core.deployment import Bounds
 from agaterelay.events import EventKind
-from agaterelay.mesh.node import stop_gracefully
+from agaterelay.mesh.node import MIN_STOP_S, stop_gracefully
+from agaterelay.mesh.servers import stop_listening
 from standins.instance import announce, expected_body
 from tests.mesh.fleet import (
     admin_address,
@@ -136,3 +138,41 @@
             assert [fields["error"] for _, fields in found] == [f"RuntimeError: {step}"]
 
     asyncio.run(scenario())
+
+
+# Guards against a stop that cuts answers which callers are still reading.
+def test_a_stop_waits_for_answers_that_are_still_being_read():
+    async def scenario():
+        async with running_fleet(("desk", "panel")) as fleet:
+            desk, panel = fleet.hosts
+            desk.instance.body_bytes = 12 << 20
+            reader, writer = await connect_slowly(panel.deployment.calls_address)
+            writer.write(
+                b"GET /read/x HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: slow\r\n"
+                b"X-Request-Deadline: 3000\r\n\r\n"
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            stopping = asyncio.create_task(stop(panel))
+            await asyncio.sleep(MIN_STOP_S + 1.0)
+            assert not stopping.done()
+            assert len(await reader.readexactly(length)) == 12 << 20
+            await asyncio.wait_for(stopping, 1.0)
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+async def connect_slowly(address):
+    """Connect as a caller of which the kernel buffers little."""
+    host, port = address.rsplit(":", 1)
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    connection.connect((host, int(port)))
+    return await asyncio.open_connection(sock=connection, limit=4096)
+
+
+async def stop(host):
+    """Stop a host's node as SIGTERM does."""
+    await stop_gracefully(host.node)
+    await stop_listening(host.listening, 0.25)
