Take a request's limits from the configuration in force when it begins

Cause: the limits were read when the connection was opened. A later configuration with higher limits did not reach open connections either.

Change: each request reads the limits as it begins. Without a configuration nothing is refused for its size.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -151,13 +151,13 @@
         Args:
             handler: Returns the response to a request. It is cancelled when the caller
                 disconnects.
-            get_limits: Returns the limits of a connection that is opened now.
+            get_limits: Returns the limits of a request that begins now.
             on_refused: Called when a request is refused before it is complete.
         """
         self.handler = handler
         self.on_refused = on_refused
         self.connections: set[ServerConnection] = set()
-        self._get_limits = get_limits
+        self.get_limits = get_limits
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -168,7 +168,7 @@
         """
         host, port = address.rsplit(":", 1)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: ServerConnection(self, self._get_limits()),
+            lambda: ServerConnection(self),
             host,
             int(port),
             backlog=BACKLOG,
@@ -215,11 +215,10 @@
         task: The task that answers the waiting requests, None if there is none.
     """
 
-    def __init__(self, server: HttpServer, limits: CallerLimits) -> None:
+    def __init__(self, server: HttpServer) -> None:
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self._server = server
-        self._limits = limits
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[HttpRequest | Refusal] = deque()
@@ -234,6 +233,7 @@
         self._in_head = False
 
     def _begin_request(self) -> None:
+        self._limits = self._server.get_limits()
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         # A list of the parts would take many times the memory of small ones.
--- a/agaterelay/mesh/callers.py
+++ b/agaterelay/mesh/callers.py
@@ -1,6 +1,6 @@
 """Callers' connections: their limits, and whether a caller is still there.
 
-A connection's limits are those of the configuration in force when it is opened.
+A request's limits are those of the configuration in force when it begins.
 """
 
 from __future__ import annotations
@@ -12,9 +12,14 @@
 from agaterelay.mesh.state import MeshState
 
 
+# Without a configuration it is not known what is too long, and nothing can be served. Such
+# a request is refused as one that may come again, not for its size.
+UNKNOWN_LIMITS = CallerLimits(max_header_bytes=64 << 10, max_body_bytes=1 << 40)
+
+
 def limits_in_force(state: MeshState) -> CallerLimits:
-    """Return the limits of the active configuration, or defaults without one."""
-    return state.table.limits if state.table else CallerLimits()
+    """Return the limits of the active configuration."""
+    return state.table.limits if state.table else UNKNOWN_LIMITS
 
 
 def has_disconnected(request: HttpRequest) -> bool:
--- a/tests/mesh/test_caller_limits.py
+++ b/tests/mesh/test_caller_limits.py
@@ -6,7 +6,13 @@
 import pytest
 
 from standins.store import put_row
-from tests.mesh.fleet import ROUTES, config, running_fleet, wait_until
+from tests.mesh.fleet import (
+    ROUTES,
+    config,
+    restart_node,
+    running_fleet,
+    wait_until,
+)
 
 HEAD = b"GET /read/x HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: slow\r\n"
 CLOSE_TIMEOUT_S = 5.0
@@ -158,3 +164,40 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+async def post(writer, size_bytes):
+    """Send a request with a body of some size."""
+    head = HEAD.replace(b"GET", b"POST")
+    writer.write(head + b"Content-Length: %d\r\n\r\n" % size_bytes)
+    writer.write(b"a" * size_bytes)
+
+
+# Guards against uploads that are denied by limits that no configuration has set.
+def test_a_node_that_knows_no_configuration_refuses_no_request_for_its_size():
+    async def scenario():
+        async with running_fleet(("desk",)) as fleet:
+            host = fleet.hosts[0]
+            fleet.store.faults.down = True
+            await restart_node(host)
+            reader, writer = await connect(fleet)
+            await post(writer, 2 << 20)
+            assert status_of(await reader.readuntil(b"\r\n\r\n")) == 503
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_new_limit_holds_on_connections_that_are_open():
+    async def scenario():
+        async with running_fleet(("desk",)) as fleet:
+            reader, writer = await connect(fleet)
+            writer.write(HEAD + b"\r\n")
+            assert status_of(await reader.readuntil(b"\r\n\r\n")) == 200
+            await use_limits(fleet, maxBodyBytes=4 << 20)
+            await post(writer, 2 << 20)
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                assert b"HTTP/1.1 200" in await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+
+    asyncio.run(scenario())
