Refuse a body for which a node has no room

What callers saw: one upload of 67 MB, within the limits that operators set, took a node over 300 MB. A body over 24 MiB ended each link that it was sent on, with all calls on it.

Cause: a body was held in five copies, and nothing bounded what a node held in all.

Change: core/memory_account.py plans from the memory of the process. Callers' bodies reserve room, three times their size, when their length is known, or in steps; other nodes' calls when they have arrived. Large bodies may take half of the account. Frames are read and written with two copies less.

Bodies of more than 23 MiB are still not served.

--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -19,6 +19,10 @@
 
 # A frame holds at most one request or response body and a few fields.
 MAX_FRAME_BYTES = 24 << 20
+# Leaves room for the other fields of a frame.
+MAX_BODY_BYTES = MAX_FRAME_BYTES - (1 << 20)
+# Longer frames are not copied to send their size together with them.
+MAX_JOINED_BYTES = 64 << 10
 # The kernel closes a connection whose sent data is not acknowledged for this long.
 USER_TIMEOUT_MS = 1500
 KEEPALIVE_S = 1
@@ -99,9 +103,8 @@
             if len(buffer) < end:
                 break
             try:
-                frame = msgpack.unpackb(
-                    bytes(buffer[start + _SIZE.size : end]), use_list=True
-                )
+                with memoryview(buffer) as view:
+                    frame = msgpack.unpackb(view[start + _SIZE.size : end])
             except (ValueError, msgpack.UnpackException):
                 self.abort()
                 return
@@ -129,7 +132,12 @@
         if not self.open:
             return False
         packed = msgpack.packb(frame)
-        self._transport.write(_SIZE.pack(len(packed)) + packed)
+        size = _SIZE.pack(len(packed))
+        if len(packed) <= MAX_JOINED_BYTES:
+            self._transport.write(size + packed)
+        else:
+            self._transport.write(size)
+            self._transport.write(packed)
         return True
 
     def close(self) -> None:
--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -36,6 +36,8 @@
 # connection, and resumed at the second.
 MAX_WAITING_REQUESTS = 32
 RESUME_WAITING_REQUESTS = 16
+# When a caller whose body found no room should come back.
+NO_ROOM_RETRY_S = 1.0
 # The colon, the space, CR and LF of a header line, besides its name and value.
 HEADER_LINE_OVERHEAD_BYTES = 4
 # Statuses whose answers have no body and no Content-Length.
@@ -54,6 +56,7 @@
     Attributes:
         received_s: When its last byte was received, on the event loop's clock.
         keep_alive: Whether the caller allows further requests on the connection.
+        holder: Identifies the body where room for it is reserved.
     """
 
     method: str
@@ -64,6 +67,7 @@
     keep_alive: bool
     version: str
     connection: ServerConnection = attrs.field(repr=False)
+    holder: object = attrs.field(factory=object, repr=False)
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, given in lower case, or None."""
@@ -84,12 +88,14 @@
 class Refusal:
     """A request that is refused before it is complete; the connection is closed.
 
-    ``headers`` are those that were received.
+    ``headers`` are those that were received, ``retry_after_s`` is when the caller should
+    come back, None if that makes no difference.
     """
 
     status: int
     reason: str
     headers: RawHeaders = ()
+    retry_after_s: float | None = None
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -145,6 +151,8 @@
         handler: Handler,
         get_limits: Callable[[], CallerLimits] = CallerLimits,
         on_refused: Callable[[Refusal], None] = lambda refusal: None,
+        reserve_body: Callable[[object, int], bool] = lambda holder, size_bytes: True,
+        release_body: Callable[[object], None] = lambda holder: None,
     ) -> None:
         """Create a server that does not listen yet.
 
@@ -153,9 +161,14 @@
                 disconnects.
             get_limits: Returns the limits of a request that begins now.
             on_refused: Called when a request is refused before it is complete.
+            reserve_body: Reserves room for a body, given what identifies it and its size
+                in bytes as far as it is known; returns whether there is room.
+            release_body: Releases the room of a body that is no longer needed.
         """
         self.handler = handler
         self.on_refused = on_refused
+        self.reserve_body = reserve_body
+        self.release_body = release_body
         self.connections: set[ServerConnection] = set()
         self.get_limits = get_limits
         self._server: asyncio.Server | None = None
@@ -234,6 +247,8 @@
 
     def _begin_request(self) -> None:
         self._limits = self._server.get_limits()
+        self._holder = object()
+        self._reserved_bytes = 0
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         # A list of the parts would take many times the memory of small ones.
@@ -256,7 +271,8 @@
         """Cancel the request in progress, and drop those that wait."""
         self.transport = None
         self._server.connections.discard(self)
-        self._waiting.clear()
+        self._drop_body()
+        self._drop_waiting()
         if self.task is not None:
             self.task.cancel()
         if self._timer is not None:
@@ -333,6 +349,8 @@
         if length is not None and int(length) > self._limits.max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
             return
+        if length is not None and not self._reserve(int(length)):
+            return
         expect = find_header(tuple(self._headers), b"expect")
         if expect is not None and expect.lower() == "100-continue":
             self.transport.write(_CONTINUE)
@@ -344,7 +362,35 @@
         if len(self._body) + len(part) > self._limits.max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
             return
-        self._body += part
+        if self._reserve(len(self._body) + len(part)):
+            self._body += part
+
+    def _reserve(self, size_bytes: int) -> bool:
+        """Reserve room for a body of this size, or refuse the request."""
+        if size_bytes <= self._reserved_bytes:
+            return True
+        # A body of unknown size takes room in steps.
+        self._reserved_bytes = max(size_bytes, 2 * self._reserved_bytes)
+        if not self._server.reserve_body(self._holder, self._reserved_bytes):
+            self._refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "there is no room for the body",
+                NO_ROOM_RETRY_S,
+            )
+            return False
+        return True
+
+    def _drop_body(self) -> None:
+        """Drop the body that is being read."""
+        self._server.release_body(self._holder)
+        self._body = bytearray()
+
+    def _drop_waiting(self) -> None:
+        """Drop the requests that wait for their turn."""
+        for item in self._waiting:
+            if isinstance(item, HttpRequest):
+                self._server.release_body(item.holder)
+        self._waiting.clear()
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -360,16 +406,22 @@
             keep_alive=self._parser.should_keep_alive(),
             version=self._parser.get_http_version(),
             connection=self,
+            holder=self._holder,
         )
+        self._holder, self._body = object(), bytearray()
         self._reading_ended = not request.keep_alive
         self._waiting.append(request)
 
-    def _refuse(self, status: HTTPStatus, reason: str) -> None:
+    def _refuse(
+        self, status: HTTPStatus, reason: str, retry_after_s: float | None = None
+    ) -> None:
         """Queue a refusal in place of the request being read, and read no further."""
         if self._reading_ended:
             return
         self._reading_ended = True
-        self._waiting.append(Refusal(status.value, reason, tuple(self._headers)))
+        self._drop_body()
+        refusal = Refusal(status.value, reason, tuple(self._headers), retry_after_s)
+        self._waiting.append(refusal)
         if self.task is None:
             self.task = self._loop.create_task(self._answer_waiting())
 
@@ -399,7 +451,10 @@
         if isinstance(item, Refusal):
             self._server.on_refused(item)
             phrase = _PHRASES.get(item.status, "refused")
-            response = HttpResponse(item.status, (), f"{phrase}\n".encode(), True)
+            headers: tuple[tuple[str, str], ...] = ()
+            if item.retry_after_s is not None:
+                headers = (("Retry-After", f"{item.retry_after_s:.3f}"),)
+            response = HttpResponse(item.status, headers, f"{phrase}\n".encode(), True)
             self._write(render_response(response, True, "1.1", False))
             return True
         head_only = item.method == "HEAD"
@@ -412,6 +467,8 @@
             closes = True
             response = HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR.value)
             rendered = render_response(response, closes, item.version, head_only)
+        finally:
+            self._server.release_body(item.holder)
         self._write(rendered)
         return closes
 
@@ -427,7 +484,8 @@
         """
         has_unread = has_unread or bool(self._waiting) or self._in_head or self._in_body
         self._reading_ended = True
-        self._waiting.clear()
+        self._drop_body()
+        self._drop_waiting()
         if self.transport is None:
             return
         if not has_unread:
--- a/agaterelay/core/deployment.py
+++ b/agaterelay/core/deployment.py
@@ -13,6 +13,9 @@
     max_row_bytes: int = 65_536
 
 
+DEFAULT_MEMORY_MB = 200
+
+
 @attrs.frozen
 class Bounds:
     """The service levels that the users require of the system."""
@@ -34,7 +37,8 @@
     their calls to ``calls_address``, and the upstream listens on ``upstream_address``.
     ``first_start`` is set only if the whole system starts for the first time, so that
     nothing can have been confirmed before. ``link_mbps`` is the bandwidth of the host's
-    network link, 0 if the platform does not provide it.
+    network link, 0 if the platform does not provide it, and ``memory_mb`` what the process
+    may take.
     """
 
     name: str
@@ -51,3 +55,4 @@
     heartbeat_s: float = 1.5
     first_start: bool = False
     link_mbps: int = 0
+    memory_mb: int = DEFAULT_MEMORY_MB
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -32,6 +32,7 @@
 )
 from agaterelay.core.checked import DecodeError, check_name
 from agaterelay.core.deployment import Deployment
+from agaterelay.core.memory_account import MemoryAccount, plan_limit_bytes, release
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
 from agaterelay.events import EventKind
@@ -40,7 +41,7 @@
     handle_announcement,
     handle_withdrawal,
 )
-from agaterelay.mesh.callers import limits_in_force
+from agaterelay.mesh.callers import limits_in_force, reserve_body
 from agaterelay.mesh.crashes import Crashes, list_suspects, release_request
 from agaterelay.mesh.feeds import apply_config
 from agaterelay.mesh.inbound import Inbound, WireFormat
@@ -106,7 +107,8 @@
     state = MeshState(own=own_member(deployment, incarnation))
     pool = HttpPool(deployment.upstream_address, WIRE.id_header)
     crashes = Crashes(context, pool)
-    inbound = Inbound(context, WIRE, pool, crashes)
+    account = MemoryAccount(plan_limit_bytes(deployment.memory_mb << 20))
+    inbound = Inbound(context, WIRE, pool, crashes, account)
     inbound.line.unconfirmed = not deployment.first_start
     watch: StoreWatch | None = None
 
@@ -211,6 +213,7 @@
     gauges["upstream_rate_limited"] = rate_limit.rate_per_s is not None
     gauges["upstream_rate_limit_per_second"] = rate_limit.rate_per_s or 0.0
     gauges["links_up"] = sum(link.usable for link in node.links.links.values())
+    gauges["body_bytes"] = node.inbound.account.used_bytes
     gauges["requests_held"] = node.inbound.crashes.held_count
     gauges["requests_suspected"] = len(node.inbound.crashes.suspects.crashes)
     gauges["store_up"] = node.state.store_up
@@ -232,8 +235,13 @@
         call_id = find_header(refusal.headers, headers.ATTEMPT_ID_KEY) or ""
         record_refused(node, refusal.reason, refusal.status, call_id)
 
+    account = node.inbound.account
     node.callers = HttpServer(
-        handle_caller, partial(limits_in_force, node.state), record_refusal
+        handle_caller,
+        partial(limits_in_force, node.state),
+        record_refusal,
+        partial(reserve_body, account),
+        partial(release, account),
     )
     return [
         (node.callers, deployment.calls_address),
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -32,6 +32,7 @@
 from agaterelay.core.call import Call, RawHeaders
 from agaterelay.core.crash_suspects import Key, is_held, request_key
 from agaterelay.core.evidence import Tally, add_calls
+from agaterelay.core.memory_account import MemoryAccount
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
 from agaterelay.core.rate_limit import RateLimit, update_rate
@@ -131,6 +132,7 @@
     """The state of an inbound proxy.
 
     Attributes:
+        account: The bodies of requests that this node holds.
         crashes: The ends of upstreams, and which requests are suspected.
         line: What the upstream has announced.
         waiters: The futures of the queued tickets; None as result grants the slot, an
@@ -150,6 +152,7 @@
     wire: WireFormat
     pool: HttpPool
     crashes: Crashes
+    account: MemoryAccount
     line: UpstreamRecord = attrs.field(factory=UpstreamRecord)
     queue: SlotQueue = attrs.field(factory=lambda: SlotQueue(1))
     waiters: dict[Ticket, asyncio.Future[Outcome | None]] = attrs.field(factory=dict)
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -25,6 +25,7 @@
     check_whole,
 )
 from agaterelay.core.membership import Member
+from agaterelay.core.memory_account import release, reserve
 from agaterelay.core.neighbours import choose_linked_hosts
 from agaterelay.core.outcome import NotRun, Unknown
 from agaterelay.core.placing import TargetLoad, record_load_report
@@ -73,6 +74,7 @@
 TALLIES_TIMEOUT_S = 0.5
 # Another node may be able to read what this one cannot.
 UNREADABLE_RETRY_S = 0.1
+NO_ROOM_RETRY_S = 0.3
 MAX_KIND_LENGTH = 20
 # The frames that carry membership and revision notifications.
 MEMBERSHIP_FRAMES = (Frame.HELLO, Frame.NEWS, Frame.WANT_MEMBERS, Frame.MEMBERS)
@@ -308,18 +310,30 @@
         outcome = NotRun("the call cannot be read", UNREADABLE_RETRY_S)
         result = CallResult(outcome, False, report_load(links.inbound))
     else:
-        try:
-            result = await run_call(links.inbound, call)
-        except Exception as error:
-            record_failed_step(links.context, "run a call", error)
-            # It may have run, for all that is known.
-            outcome = Unknown("the upstream's node failed")
-            result = CallResult(outcome, True, report_load(links.inbound))
+        result = await _run_received_call(links, call)
     connection.send(
         [Frame.RESULT, number, encode_result(result), revision_of(links.state)]
     )
 
 
+async def _run_received_call(links: Links, call: Call) -> CallResult:
+    """Run another node's call, if there is room for its body."""
+    account = links.inbound.account
+    holder = object()
+    if not reserve(account, holder, len(call.body)):
+        outcome = NotRun("there is no room for the body", NO_ROOM_RETRY_S)
+        return CallResult(outcome, False, report_load(links.inbound))
+    try:
+        return await run_call(links.inbound, call)
+    except Exception as error:
+        record_failed_step(links.context, "run a call", error)
+        # It may have run, for all that is known.
+        outcome = Unknown("the upstream's node failed")
+        return CallResult(outcome, True, report_load(links.inbound))
+    finally:
+        release(account, holder)
+
+
 def _handle_reply(links: Links, link: Link, frame: list[Any]) -> None:
     """Handle a frame on a link that this node has dialled."""
     now_s = links.context.clock.monotonic_s()
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -24,6 +24,7 @@
     "upstream_rate_limited": "Whether this host's upstream names a rate limit.",
     "upstream_rate_limit_per_second": "The rate limit, 0 if it names none.",
     "links_up": "Links to other nodes that can be used.",
+    "body_bytes": "What the bodies of requests take in this process.",
     "requests_held": "Requests held back because upstreams end when they run them.",
     "requests_suspected": "Requests that upstreams had in hand when they ended.",
     "store_up": "Whether the store answered last.",
--- a/agaterelay/platform/settings.py
+++ b/agaterelay/platform/settings.py
@@ -9,7 +9,12 @@
 from typing import Any
 
 from agaterelay.core.checked import check_name, check_number
-from agaterelay.core.deployment import Bounds, Deployment, StoreSettings
+from agaterelay.core.deployment import (
+    DEFAULT_MEMORY_MB,
+    Bounds,
+    Deployment,
+    StoreSettings,
+)
 from agaterelay.core.model import Finding, Place
 from agaterelay.platform.units import parse_seconds
 
@@ -124,6 +129,7 @@
         bounds=bounds,
         heartbeat_s=read_setting("heartbeat", parse_seconds, 1.5),
         first_start=read_setting("bootstrap", _flag, False),
+        memory_mb=int(read_setting("limits.memoryMb", _number, DEFAULT_MEMORY_MB) or 0),
         link_mbps=int(read_setting("limits.linkMbps", _number, 0.0) or 0),
     )
     return (None if findings else deployment), tuple(findings)
--- /dev/null
+++ b/tests/core/test_memory_account.py
@@ -0,0 +1,70 @@
+"""Bodies fit into a node's memory, and large ones leave room for small ones."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from agaterelay.core.memory_account import (
+    COPIES_PER_BODY,
+    LARGE_BODY_BYTES,
+    MemoryAccount,
+    plan_limit_bytes,
+    release,
+    reserve,
+)
+
+LIMIT_BYTES = 30 << 20
+LARGE = 1 << 20
+SMALL = 1 << 10
+
+
+def test_large_bodies_leave_half_of_the_room_to_small_ones():
+    account = MemoryAccount(LIMIT_BYTES)
+    taken = sum(reserve(account, f"large {number}", LARGE) for number in range(20))
+    assert taken == 5
+    assert all(reserve(account, number, SMALL) for number in range(5000))
+    assert account.used_bytes <= LIMIT_BYTES
+
+
+def test_small_bodies_are_bounded_too():
+    account = MemoryAccount(LIMIT_BYTES)
+    taken = sum(reserve(account, number, LARGE_BODY_BYTES) for number in range(2000))
+    assert taken == LIMIT_BYTES // (COPIES_PER_BODY * LARGE_BODY_BYTES)
+
+
+def test_a_body_that_grows_keeps_what_it_has_when_there_is_no_more_room():
+    account = MemoryAccount(LIMIT_BYTES)
+    assert reserve(account, "a", SMALL)
+    assert reserve(account, "a", LARGE)
+    assert not reserve(account, "a", LIMIT_BYTES)
+    assert account.held == {"a": LARGE}
+    release(account, "a")
+    release(account, "a")
+    assert (account.used_bytes, account.held) == (0, {})
+
+
+@pytest.mark.parametrize("memory_mb", [200, 300, 552])
+def test_the_plan_stays_within_six_tenths_of_the_memory(memory_mb):
+    assert plan_limit_bytes(memory_mb << 20) < 0.6 * (memory_mb << 20)
+
+
+operations = st.tuples(
+    st.integers(0, 5),
+    st.sampled_from([0, 1, SMALL, LARGE_BODY_BYTES, LARGE, 5 * LARGE]),
+)
+
+
+@given(st.lists(operations, max_size=60))
+def test_the_account_is_never_below_zero_or_over_its_limit_and_ends_at_zero(series):
+    account = MemoryAccount(LIMIT_BYTES)
+    for holder, size_bytes in series:
+        if size_bytes:
+            reserve(account, holder, size_bytes)
+        else:
+            release(account, holder)
+        assert 0 <= account.small_bytes
+        assert 0 <= account.large_bytes
+        assert account.used_bytes <= LIMIT_BYTES
+        assert account.small_bytes + account.large_bytes == sum(account.held.values())
+    for holder in range(6):
+        release(account, holder)
+    assert account.used_bytes == 0
--- a/tests/mesh/test_caller_limits.py
+++ b/tests/mesh/test_caller_limits.py
@@ -201,3 +201,69 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+# Guards against one upload that takes a node over its memory and ends other requests.
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_a_body_for_which_there_is_no_room_is_refused_and_others_are_served(is_chunked):
+    async def scenario():
+        async with running_fleet(("panel", "desk")) as fleet:
+            await use_limits(fleet, maxBodyBytes=64 << 20)
+            await wait_until(
+                lambda: fleet.hosts[1].node.state.table.limits.max_body_bytes > 1 << 20
+            )
+            account = fleet.hosts[0].node.inbound.account
+            reader, writer = await connect(fleet)
+            head = HEAD.replace(b"GET", b"POST")
+            if is_chunked:
+                writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+                writer.write((b"100000\r\n" + b"a" * (1 << 20) + b"\r\n") * 32)
+            else:
+                writer.write(head + b"Content-Length: 67000000\r\n\r\nabc")
+            answer = await reader.readuntil(b"\r\n\r\n")
+            assert status_of(answer) == 503
+            assert b"Retry-After: " in answer
+            assert account.used_bytes == 0
+            writer.close()
+            reader, writer = await connect(fleet)
+            await post(writer, 1 << 20)
+            assert status_of(await reader.readuntil(b"\r\n\r\n")) == 200
+            assert account.used_bytes == 0
+            assert fleet.hosts[1].node.inbound.account.used_bytes == 0
+            assert [len(body) for body in fleet.hosts[1].instance.bodies] == [1 << 20]
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_caller_that_leaves_frees_the_room_of_its_body():
+    async def scenario():
+        async with running_fleet(("desk",)) as fleet:
+            await use_limits(fleet, maxBodyBytes=64 << 20)
+            account = fleet.hosts[0].node.inbound.account
+            fleet.hosts[0].instance.fault = "silent"
+            _, writer = await connect(fleet)
+            await post(writer, 1 << 20)
+            await wait_until(lambda: fleet.hosts[0].instance.running)
+            assert account.used_bytes > 0
+            writer.transport.abort()
+            _, writer = await connect(fleet)
+            writer.write(HEAD + b"Content-Length: 1000000\r\n\r\nabc")
+            await wait_until(lambda: account.large_bytes == 1_000_000)
+            writer.transport.abort()
+            await wait_until(lambda: account.used_bytes == 0)
+
+    asyncio.run(scenario())
+
+
+def test_a_call_of_another_node_without_room_for_its_body_is_not_run():
+    async def scenario():
+        async with running_fleet(("panel", "desk")) as fleet:
+            fleet.hosts[1].node.inbound.account.limit_bytes = 1000
+            reader, writer = await connect(fleet)
+            await post(writer, 100_000)
+            assert status_of(await reader.readuntil(b"\r\n\r\n")) == 503
+            assert not fleet.hosts[1].instance.ran
+            writer.close()
+
+    asyncio.run(scenario())
