--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -48,6 +48,10 @@
     MEMBERS = 13
     TABLE_DELTA = 14
     CRASHES = 15
+    ASK_GRANT = 16
+    GRANT = 17
+    ASK_LOAN = 18
+    LOAN = 19
 
 
 def configure_socket(tcp_socket: socket.socket, user_timeout_ms: int) -> None:
--- a/agaterelay/core/call.py
+++ b/agaterelay/core/call.py
@@ -15,7 +15,7 @@
     nodes the remaining time is sent instead. Until ``target_s`` an answer is of full use
     to the caller. ``is_retry`` is set if an earlier attempt has reached an upstream, and
     ``last_attempt`` if no retry would follow a failure; only the outbound proxy uses the
-    latter.
+    latter. ``workspace`` is the caller's, empty without one.
     """
 
     call_id: str
@@ -34,3 +34,4 @@
     target_s: float
     is_retry: bool = False
     last_attempt: bool = False
+    workspace: str = ""
--- a/agaterelay/core/deployment.py
+++ b/agaterelay/core/deployment.py
@@ -14,6 +14,7 @@
 
 
 DEFAULT_MEMORY_MB = 200
+DEFAULT_MAX_DESCRIPTORS = 4096
 
 
 @attrs.frozen
@@ -27,6 +28,12 @@
     retry_window_s: float = 10.0
     retry_slack: float = 62.0
     expose_ratio: float = 0.1
+    cold_ratio: float = 1.5
+    cold_slack: float = 8.0
+    evacuation_s: float = 5.0
+    allotment_window_s: float = 5.0
+    allotment_excess_ratio: float = 0.1
+    allotment_slack: float = 20.0
 
 
 @attrs.frozen
@@ -37,8 +44,9 @@
     their calls to ``calls_address``, and the upstream listens on ``upstream_address``.
     ``first_start`` is set only if the whole system starts for the first time, so that
     nothing can have been confirmed before. ``link_mbps`` is the bandwidth of the host's
-    network link, 0 if the platform does not provide it, and ``memory_mb`` what the process
-    may take.
+    network link, 0 if the platform does not provide it, ``memory_mb`` what the process
+    may take, and ``max_descriptors`` how many files and sockets it may open. ``zones`` are
+    all availability zones of the deployment.
     """
 
     name: str
@@ -56,3 +64,5 @@
     first_start: bool = False
     link_mbps: int = 0
     memory_mb: int = DEFAULT_MEMORY_MB
+    zones: tuple[str, ...] = ()
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
--- a/agaterelay/core/model.py
+++ b/agaterelay/core/model.py
@@ -85,6 +85,38 @@
     rank: int = 1
     max_attempts: int = 2
     target_latency_ms: int = 1000
+    public: bool = False
+
+
+@attrs.frozen
+class Workspace:
+    """A customer of the operator, whose callers authenticate with its keys.
+
+    Attributes:
+        key_digests: The SHA-256 digests of its keys.
+        rank: Replaces the rank of the routes for its calls; None keeps theirs.
+        rate_per_s: The calls per second that it may run on all hosts together, 0 for no
+            limit.
+        burst: How many calls it may run beyond that at once.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = attrs.field(default=(), repr=False)
+    rank: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@attrs.frozen
+class ColdLimit:
+    """What upstreams of a service accept while they are cold.
+
+    ``duration_s`` is how long they are cold after their start, ``rate_per_s`` the calls
+    per second that they accept until then.
+    """
+
+    duration_s: float
+    rate_per_s: float
 
 
 @attrs.frozen
@@ -101,14 +133,18 @@
 class RouteTable:
     """A complete configuration as a deployed node serves it.
 
-    ``revision`` orders configurations. ``source`` is the document as the operator
-    wrote it, which is passed on to other nodes unchanged.
+    ``revision`` orders configurations. ``workspaces`` is None if callers need no keys.
+    ``cold_limits`` are those of the services whose cold upstreams accept fewer calls.
+    ``source`` is the document as the operator wrote it, which is passed on to other nodes
+    unchanged.
     """
 
     revision: int
     routes: tuple[Route, ...] = ()
     health_paths: dict[str, str] = attrs.field(factory=dict)
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    workspaces: tuple[Workspace, ...] | None = None
+    cold_limits: dict[str, ColdLimit] = attrs.field(factory=dict)
     source: bytes = attrs.field(default=b"", repr=False, eq=False)
 
 
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -25,6 +25,7 @@
 
     Attributes:
         wait_ms: How long the caller waits for the answer, None if it does not say.
+        workspace: The name of the caller's workspace, empty without one.
     """
 
     call_id: str
@@ -34,6 +35,7 @@
     headers: RawHeaders
     body: bytes = attrs.field(repr=False)
     wait_ms: int | None = None
+    workspace: str = ""
 
 
 @attrs.define
--- a/agaterelay/platform/config.py
+++ b/agaterelay/platform/config.py
@@ -92,7 +92,10 @@
         return None, tuple(findings)
     if known is not None:
         known.columns, known.routes = columns, decoded
-    return RouteTable(revision, tuple(routes), health_paths, limits, value), ()
+    return (
+        RouteTable(revision, tuple(routes), health_paths, limits, source=value),
+        (),
+    )
 
 
 def _row_key(row: Any) -> Hashable:
--- a/agaterelay/platform/settings.py
+++ b/agaterelay/platform/settings.py
@@ -10,6 +10,7 @@
 
 from agaterelay.core.checked import check_name, check_number
 from agaterelay.core.deployment import (
+    DEFAULT_MAX_DESCRIPTORS,
     DEFAULT_MEMORY_MB,
     Bounds,
     Deployment,
@@ -56,6 +57,12 @@
     return value
 
 
+def _zone_names(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, dict):
+        raise ValueError("must be a table of zones and their regions")
+    return tuple(sorted(check_name(name) for name in value))
+
+
 def load_deployment(path: Path) -> tuple[Deployment | None, tuple[Finding, ...]]:
     """Read and check a settings file.
 
@@ -113,6 +120,18 @@
             "bounds.retryBudgetSlack", _number, defaults.retry_slack
         ),
         expose_ratio=read_setting("bounds.exposeShare", _number, defaults.expose_ratio),
+        cold_ratio=read_setting("bounds.coldOver", _number, defaults.cold_ratio),
+        cold_slack=read_setting("bounds.coldSlack", _number, defaults.cold_slack),
+        evacuation_s=read_setting("bounds.evac", parse_seconds, defaults.evacuation_s),
+        allotment_window_s=read_setting(
+            "bounds.quotaWindow", parse_seconds, defaults.allotment_window_s
+        ),
+        allotment_excess_ratio=read_setting(
+            "bounds.quotaOver", _number, defaults.allotment_excess_ratio
+        ),
+        allotment_slack=read_setting(
+            "bounds.quotaSlack", _number, defaults.allotment_slack
+        ),
     )
     address = read_setting("ip", _text) or ""
     deployment = Deployment(
@@ -131,5 +150,9 @@
         first_start=read_setting("bootstrap", _flag, False),
         memory_mb=int(read_setting("limits.memoryMb", _number, DEFAULT_MEMORY_MB) or 0),
         link_mbps=int(read_setting("limits.linkMbps", _number, 0.0) or 0),
+        zones=read_setting("zones", _zone_names, ()),
+        max_descriptors=int(
+            read_setting("limits.maxFds", _number, DEFAULT_MAX_DESCRIPTORS) or 0
+        ),
     )
     return (None if findings else deployment), tuple(findings)
