Identify callers by their workspace's key

A configuration with a table of tenants is decoded to workspaces, and a request on a route that isn't public needs a key of one of them.

Unchanged rows are reused from the previous configuration, and with them the index.

The caller's node drops Authorization and X-Tenant before a call leaves it, and sends the workspace as a new last field of the call; the upstream's node renders it as X-Tenant. Nodes of the previous build read the first 15 fields and are read without the last.

The cache of decoded rows now tells true from 1, which are equal in Python: a document with "public": 1 was accepted by a node that had decoded the row with true before, and refused by others.

--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -123,6 +123,8 @@
     outbound = Outbound(context, state, links, new_retry_budget(deployment.bounds))
     meters = Meters()
     outbound.observe_outcome = meters.count_request
+    outbound.observe_unidentified = meters.count_unidentified
+    outbound.key_challenge = headers.KEY_CHALLENGE
     return Node(
         context=context,
         state=state,
@@ -138,14 +140,18 @@
 def make_request(request: HttpRequest) -> Request:
     """Convert an HTTP request of a caller to a ``Request``."""
     host = request.header(b"host") or ""
+    forwarded = headers.forwarded_headers(request.headers)
     return Request(
         call_id=request.header(headers.ATTEMPT_ID_KEY) or "",
         method=request.method,
         host=host.rpartition(":")[0] or host,
         path=request.target,
-        headers=headers.forwarded_headers(request.headers),
+        headers=forwarded,
         body=request.body,
         wait_ms=headers.parse_deadline_ms(request.header(headers.DEADLINE_KEY)),
+        # Read from all headers: Connection may list it, and it is still the node's.
+        credential=headers.parse_credential(request.headers),
+        anonymous_headers=headers.without_identity(forwarded),
     )
 
 
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -78,6 +78,7 @@
     held = revision_of(watch.state)
     if table.revision <= held:
         return
+    workspaces_before = watch.state.table.workspaces if watch.state.table else None
     watch.state.table = table
     catch_up = watch.links.catch_up
     now_s = watch.context.clock.monotonic_s()
@@ -93,6 +94,15 @@
         known_ms=round((now_s - catch_up.seen_s) * 1000) if known else 0,
         **_describe_call(watch, source),
     )
+    if table.workspaces != workspaces_before:
+        workspaces = table.workspaces or ()
+        watch.context.record(
+            EventKind.WORKSPACES_CHANGED,
+            revision=table.revision,
+            keys_needed=table.workspaces is not None,
+            workspaces=len(workspaces),
+            keys=sum(len(workspace.key_digests) for workspace in workspaces),
+        )
     if source == "store" or reads_for_standbys(watch):
         broadcast_revision(watch)
 
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -62,6 +62,7 @@
     Attributes:
         requests: Callers' requests by route and outcome.
         request_durations: The time from a request to its answer, by outcome.
+        unidentified: Requests refused for want of a valid key, by cause.
         store_calls: Calls to the store by path and result.
         gauges: The present values, by name; set before each scrape.
         loop_lag: How late timers fired.
@@ -69,6 +70,7 @@
 
     requests: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     request_durations: dict[str, Durations] = attrs.field(factory=dict)
+    unidentified: Counter[str] = attrs.field(factory=Counter)
     store_calls: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(
         factory=lambda: dict.fromkeys(GAUGE_TEXTS, 0.0)
@@ -83,6 +85,10 @@
         self.requests[key] += 1
         self.request_durations.setdefault(outcome, Durations()).observe(elapsed_s)
 
+    def count_unidentified(self, cause: str) -> None:
+        """Count one request that was refused for want of a valid key."""
+        self.unidentified[cause] += 1
+
     def count_store_call(self, call: str, result: str) -> None:
         """Count one call to the store."""
         self.store_calls[call, result] += 1
@@ -107,6 +113,14 @@
         for outcome, observed in self.request_durations.items():
             durations.add_metric([outcome], observed.cumulative(), observed.sum_s)
         yield durations
+        unidentified = core.CounterMetricFamily(
+            "agaterelay_requests_unidentified",
+            "Callers' requests refused for want of a valid key, by cause.",
+            labels=["cause"],
+        )
+        for cause, count in self.unidentified.items():
+            unidentified.add_metric([cause], count)
+        yield unidentified
         store_calls = core.CounterMetricFamily(
             "agaterelay_store_calls",
             "Calls to the platform's store by kind and result.",
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -12,6 +12,8 @@
 
 import asyncio
 
+import attrs
+
 from agaterelay.core.call import Call
 from agaterelay.core.crash_suspects import HELD_CRASH_COUNT, is_held, request_key
 from agaterelay.core.membership import Member, UpstreamInfo
@@ -35,6 +37,8 @@
     choose_upstream,
     choose_version,
     find_route,
+    identify_request,
+    rank_of,
     remaining_target_s,
 )
 from agaterelay.mesh.state import record_leaving_start, revision_of, versions_of
@@ -80,6 +84,14 @@
     route = find_route(outbound, request.host, path)
     if route is None:
         return _refuse(outbound, request, Answered(404, (), b"no route\n"))
+    caller = identify_request(outbound, request, route)
+    if caller.refusal:
+        return _refuse_unidentified(outbound, request, caller.refusal)
+    if outbound.state.table.workspaces is not None:
+        name = caller.workspace.name if caller.workspace else ""
+        request = attrs.evolve(
+            request, headers=request.anonymous_headers, workspace=name
+        )
     timeout_s = route.timeout_ms / 1000
     if request.wait_ms is not None:
         timeout_s = min(timeout_s, request.wait_ms / 1000)
@@ -96,7 +108,13 @@
     if hold is not None:
         return _refuse(outbound, request, NotRun(hold, None), waited_s)
     request_state = RequestState(
-        request, route, service, started_s, started_s + timeout_s, waited_s=waited_s
+        request,
+        route,
+        service,
+        started_s,
+        started_s + timeout_s,
+        waited_s=waited_s,
+        rank=rank_of(caller, route),
     )
     request_state.target_s = started_s + remaining_target_s(
         outbound, route, request.wait_ms
@@ -120,15 +138,29 @@
     return outcome
 
 
+def _refuse_unidentified(outbound: Outbound, request: Request, cause: str) -> Outcome:
+    """Refuse a request for want of a valid key.
+
+    The cause is logged and counted; the response is the same for all of them.
+    """
+    outbound.observe_unidentified(cause)
+    outcome = Answered(401, outbound.key_challenge, b"a valid key is needed\n")
+    return _refuse(outbound, request, outcome, cause=cause)
+
+
 def _refuse(
-    outbound: Outbound, request: Request, outcome: Outcome, waited_s: float = 0.0
+    outbound: Outbound,
+    request: Request,
+    outcome: Outcome,
+    waited_s: float = 0.0,
+    cause: str = "",
 ) -> Outcome:
     """Log that a request is not placed, and return its outcome."""
-    answered = isinstance(outcome, Answered)
+    reason = _reason_of(outcome)
     outbound.context.record(
         EventKind.REQUEST_REFUSED,
         request_id=request.call_id,
-        reason=f"status {outcome.status}" if answered else outcome.reason,
+        reason=f"{reason}: {cause}" if cause else reason,
         host_named=request.host,
         revision=revision_of(outbound.state),
         connection_wait_ms=round(waited_s * 1000),
@@ -260,13 +292,14 @@
         instance=upstream.instance,
         caller_service=outbound.context.deployment.service,
         idempotent=route.idempotent,
-        rank=route.rank,
+        rank=request_state.rank,
         deadline_s=request_state.deadline_s,
         target_s=request_state.target_s,
         is_retry=request_state.arrivals > 0,
         last_attempt=outbound.shutting_down
         or request_state.placements >= MAX_PLACEMENTS
         or request_state.arrivals + 1 >= route.max_attempts,
+        workspace=request.workspace,
     )
     now_s = outbound.context.clock.monotonic_s()
     load = load_of(outbound.links, member.host)
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -9,12 +9,13 @@
 import attrs
 
 from agaterelay.core.call import RawHeaders
-from agaterelay.core.model import Route, RouteTable
+from agaterelay.core.model import Route, RouteTable, Workspace
 from agaterelay.core.outcome import Outcome
 from agaterelay.core.placing import RouteCosts
 from agaterelay.core.retry_budget import RetryBudget
 from agaterelay.core.stopping import StopSchedule
 from agaterelay.core.weighted_round_robin import WeightedRoundRobin
+from agaterelay.core.workspaces import NO_CREDENTIAL, Credential
 from agaterelay.mesh.link import Links
 from agaterelay.mesh.state import MeshState, NodeContext
 
@@ -26,16 +27,20 @@
     Attributes:
         wait_ms: How long the caller waits for the answer, None if it does not say.
         workspace: The name of the caller's workspace, empty without one.
+        credential: What the request carries to tell its workspace.
+        anonymous_headers: The headers without those that say whose the request is.
     """
 
     call_id: str
     method: str
     host: str
     path: str
-    headers: RawHeaders
+    headers: RawHeaders = attrs.field(repr=False)
     body: bytes = attrs.field(repr=False)
     wait_ms: int | None = None
     workspace: str = ""
+    credential: Credential = NO_CREDENTIAL
+    anonymous_headers: RawHeaders = attrs.field(default=(), repr=False)
 
 
 @attrs.define
@@ -64,6 +69,8 @@
         trials: Counts of the versions on trial, by service and order number.
         routes: The routes of each host, longest path prefix first.
         indexed_table: The route table from which ``routes`` was built.
+        keys: The workspace of each key digest.
+        indexed_workspaces: The workspaces from which ``keys`` was built.
         route_costs: Mean service time and answer size, by route.
         longest_wait_ms: The longest time that a caller has waited for, by route.
         stop: The schedule of the node's graceful stop, None while it serves.
@@ -71,6 +78,9 @@
         attempt_timeouts: The timeouts of the attempts in flight.
         answered_count: The number of answered requests; selects those that are logged.
         observe_outcome: Called with route, outcome and elapsed seconds of each request.
+        observe_unidentified: Called with the cause of each refusal for want of a valid
+            key.
+        key_challenge: The headers of such a refusal.
     """
 
     context: NodeContext
@@ -82,6 +92,8 @@
     trials: dict[tuple[str, int], TrialCounts] = attrs.field(factory=dict)
     routes: dict[str, tuple[Route, ...]] = attrs.field(factory=dict)
     indexed_table: RouteTable | None = None
+    keys: dict[bytes, Workspace] = attrs.field(factory=dict, repr=False)
+    indexed_workspaces: tuple[Workspace, ...] | None = None
     in_flight: int = 0
     route_costs: dict[str, RouteCosts] = attrs.field(factory=dict)
     longest_wait_ms: dict[str, int] = attrs.field(factory=dict)
@@ -92,6 +104,8 @@
     observe_outcome: Callable[[str, str, float], None] = (
         lambda route, outcome, elapsed_s: None
     )
+    observe_unidentified: Callable[[str], None] = lambda cause: None
+    key_challenge: tuple[tuple[str, str], ...] = ()
 
 
 @attrs.define
@@ -104,6 +118,7 @@
         placements: How often it was placed on an upstream.
         started_s: When it was received; it may have waited for its turn since.
         waited_s: How long it waited behind other requests on its connection.
+        rank: Orders its calls at a full upstream; 0 goes first.
         target_s: When the answer is of full use to the caller at the latest.
         last_outcome: The outcome of the last attempt that reached an upstream, None if
             no attempt has.
@@ -120,5 +135,6 @@
     placements: int = 0
     target_s: float = 0.0
     waited_s: float = 0.0
+    rank: int = 1
     last_outcome: Outcome | None = None
     retry_after_s: float | None = None
--- a/agaterelay/mesh/routing.py
+++ b/agaterelay/mesh/routing.py
@@ -8,8 +8,14 @@
 from agaterelay.core.rendezvous import rank
 from agaterelay.core.trial import trial_share
 from agaterelay.core.weighted_round_robin import choose_next, make_weighted_round_robin
+from agaterelay.core.workspaces import (
+    ANYONE,
+    Caller,
+    identify_caller,
+    index_keys,
+)
 from agaterelay.mesh.links import is_usable, load_of
-from agaterelay.mesh.request_state import Outbound, RequestState, TrialCounts
+from agaterelay.mesh.request_state import Outbound, Request, RequestState, TrialCounts
 from agaterelay.mesh.state import targets_of, versions_of
 
 
@@ -31,6 +37,25 @@
     return None
 
 
+def identify_request(outbound: Outbound, request: Request, route: Route) -> Caller:
+    """Return who a request's caller is; without workspaces, nobody is asked."""
+    table = outbound.state.table
+    workspaces = table.workspaces if table else None
+    if workspaces is None:
+        return ANYONE
+    if outbound.indexed_workspaces is not workspaces:
+        outbound.keys = index_keys(workspaces)
+        outbound.indexed_workspaces = workspaces
+    return identify_caller(outbound.keys, request.credential, route.public)
+
+
+def rank_of(caller: Caller, route: Route) -> int:
+    """Return the rank of a caller's request; that of its workspace takes precedence."""
+    if caller.workspace is None or caller.workspace.rank is None:
+        return route.rank
+    return caller.workspace.rank
+
+
 def remaining_target_s(outbound: Outbound, route: Route, wait_ms: int | None) -> float:
     """Return the seconds within which an answer is of full use to the caller.
 
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -45,7 +45,10 @@
 
 
 def encode_call(call: Call, now_s: float) -> list[Any]:
-    """Encode a call; its deadline and target are sent as remaining milliseconds."""
+    """Encode a call; its deadline and target are sent as remaining milliseconds.
+
+    Nodes of earlier builds read the first items; later fields follow these.
+    """
     return [
         call.call_id,
         call.method,
@@ -62,6 +65,7 @@
         max(int((call.deadline_s - now_s) * 1000), 0),
         int((call.target_s - now_s) * 1000),
         call.is_retry,
+        call.workspace,
     ]
 
 
@@ -88,9 +92,15 @@
         deadline_s=now_s + check_number(encoded[12]) / 1000,
         target_s=now_s + check_number(encoded[13]) / 1000,
         is_retry=check_flag(encoded[14]),
+        workspace=_decode_workspace(encoded[15]) if len(encoded) > 15 else "",
     )
 
 
+def _decode_workspace(value: Any) -> str:
+    """Return the name of a call's workspace, which becomes a header at its upstream."""
+    return check_name(value) if value != "" else ""
+
+
 def encode_result(result: CallResult) -> list[Any]:
     """Encode the result of a call.
 
--- a/agaterelay/platform/config.py
+++ b/agaterelay/platform/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import operator
 from collections.abc import Hashable, Mapping, Sequence
 from typing import Any
 
@@ -10,13 +11,24 @@
 from agaterelay.core.checked import (
     MALFORMED,
     MAX_WHOLE,
+    DecodeError,
+    check_flag,
     check_name,
+    check_number,
     check_path,
     check_text,
     check_whole,
     load_json,
 )
-from agaterelay.core.model import CallerLimits, Finding, Place, Route, RouteTable
+from agaterelay.core.model import (
+    CallerLimits,
+    Finding,
+    Place,
+    Route,
+    RouteTable,
+    Workspace,
+)
+from agaterelay.core.workspaces import digest_key, find_conflicts
 from agaterelay.platform.units import parse_seconds
 
 CONFIG_KEY = "config"
@@ -31,10 +43,17 @@
 
 @attrs.define
 class KnownRoutes:
-    """A cache of the routes of the last decoded configuration, by encoded row."""
+    """A cache of what the last configuration was decoded to, by encoded row.
+
+    ``workspaces`` are cached by the digest of their row, so that no key stays in memory.
+    ``workspace_rows`` is the last complete table; it is reused while no row changes.
+    """
 
     columns: tuple[str, ...] = ()
     routes: dict[Hashable, Route] = attrs.field(factory=dict)
+    workspace_columns: tuple[str, ...] = ()
+    workspaces: dict[bytes, Workspace] = attrs.field(factory=dict)
+    workspace_rows: tuple[Workspace, ...] | None = None
 
 
 def decode_config(
@@ -45,8 +64,8 @@
     Args:
         value: The document.
         filename: The document's name in findings.
-        known: The cache of decoded routes, updated in place. Successive configurations
-            differ in a few of several thousand routes; the others are reused.
+        known: The cache of decoded rows, updated in place. Successive configurations
+            differ in a few of several thousand rows; the others are reused.
 
     Returns:
         The configuration and no findings, or None and every finding.
@@ -64,6 +83,9 @@
         columns = tuple(tree["routes"]["columns"])
         route_rows = list(tree["routes"]["rows"])
         service_rows = _records(tree["services"])
+        tenants = tree.get("tenants")
+        tenant_columns = tuple(tenants["columns"]) if tenants is not None else ()
+        tenant_rows = list(tenants["rows"]) if tenants is not None else []
     except MALFORMED as error:
         add_finding("", error)
         return None, tuple(findings)
@@ -88,22 +110,67 @@
             )
         except MALFORMED as error:
             add_finding(f"services, row {number}", error)
+    workspaces: list[Workspace] = []
+    known_workspaces = (
+        known.workspaces if known and known.workspace_columns == tenant_columns else {}
+    )
+    decoded_workspaces: dict[bytes, Workspace] = {}
+    for number, row in enumerate(tenant_rows, 1):
+        try:
+            digest = digest_key(repr(row).encode())
+            workspace = known_workspaces.get(digest) or _decode_workspace(
+                _record(tenant_columns, row)
+            )
+        except MALFORMED as error:
+            add_finding(f"tenants, row {number}", error)
+        else:
+            workspaces.append(workspace)
+            decoded_workspaces[digest] = workspace
     if findings:
         return None, tuple(findings)
+    workspace_rows = tuple(workspaces)
+    if known is not None and _are_same(known.workspace_rows, workspace_rows):
+        workspace_rows = known.workspace_rows
+    else:
+        for position, message in find_conflicts(workspaces):
+            place_of_row = f"tenants, row {position + 1}"
+            findings.append(Finding(place, message, place_of_row))
+        if findings:
+            return None, tuple(findings)
     if known is not None:
         known.columns, known.routes = columns, decoded
+        known.workspace_columns = tenant_columns
+        known.workspaces = decoded_workspaces
+        known.workspace_rows = workspace_rows
+    table = RouteTable(
+        revision,
+        tuple(routes),
+        health_paths,
+        limits,
+        workspaces=None if tenants is None else workspace_rows,
+        source=value,
+    )
+    return table, ()
+
+
+def _are_same(
+    earlier: tuple[Workspace, ...] | None, workspaces: tuple[Workspace, ...]
+) -> bool:
+    """Return whether all workspaces were reused from the cache, in the same order."""
     return (
-        RouteTable(revision, tuple(routes), health_paths, limits, source=value),
-        (),
+        earlier is not None
+        and len(earlier) == len(workspaces)
+        and all(map(operator.is_, earlier, workspaces))
     )
 
 
 def _row_key(row: Any) -> Hashable:
     """Return a hashable key that is equal only for equal rows.
 
-    Rows with weighted clusters hold a list and are identified by their ``repr``.
+    The types are part of it, since true and 1 are equal in Python but not in a row. Rows
+    with weighted clusters hold a list and are identified by their ``repr``.
     """
-    key = tuple(row)
+    key = (*row, *map(type, row))
     try:
         hash(key)
     except TypeError:
@@ -169,4 +236,30 @@
         target_latency_ms=round(
             1000 * _seconds(fields, "targetLatency", DEFAULT_TARGET_LATENCY_S)
         ),
+        public=check_flag(fields.get("public", False)),
+    )
+
+
+def _decode_workspace(fields: Mapping[str, Any]) -> Workspace:
+    name = check_name(fields["name"])
+    if not name.isascii():
+        raise DecodeError("the name must be of ASCII characters to be sent in a header")
+    keys = fields.get("apiKeys", [])
+    if not isinstance(keys, list):
+        raise DecodeError(f"apiKeys must be a list, not {type(keys).__name__}")
+    digests = [digest_key(check_text(key).encode()) for key in keys]
+    rank = fields.get("priority")
+    return Workspace(
+        name=name,
+        key_digests=tuple(dict.fromkeys(digests)),
+        rank=None if rank is None else check_whole(rank),
+        rate_per_s=_check_not_negative("ratePerS", fields.get("ratePerS", 0)),
+        burst=_check_not_negative("burst", fields.get("burst", 0)),
     )
+
+
+def _check_not_negative(name: str, value: Any) -> float:
+    number = check_number(value)
+    if number < 0:
+        raise DecodeError(f"{name} must not be below 0")
+    return number
--- a/agaterelay/platform/headers.py
+++ b/agaterelay/platform/headers.py
@@ -8,11 +8,19 @@
 from agaterelay.core.call import Call, RawHeaders
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.signals import NO_SIGNALS, UpstreamSignals
+from agaterelay.core.workspaces import NO_CREDENTIAL, Credential, digest_key
 
 ATTEMPT_ID = "X-Attempt-Id"
 DEADLINE = "X-Request-Deadline"
 EXPECT_INSTANCE = "X-Expect-Instance"
 CALLER_SERVICE = "X-Caller-Service"
+WORKSPACE = "X-Tenant"
+AUTHORIZATION_KEY = b"authorization"
+KEY_SCHEME = b"token"
+# What a caller without a usable key is told to send.
+KEY_CHALLENGE = (("WWW-Authenticate", "Token"),)
+# Longer keys are refused before they are digested.
+MAX_KEY_BYTES = 1024
 SEAL = b"x-server-seal"
 NOT_EXECUTED = b"x-not-executed"
 ATTEMPT_ID_KEY = b"x-attempt-id"
@@ -23,6 +31,7 @@
 MISDIRECTED = 421
 MAX_RETRY_AFTER_S = 30.0
 _MAX_NUMBER_LENGTH = 32
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x1f\x7f]")
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]*)?|\.[0-9]+")
 # Hop-by-hop headers, and headers that the node sets itself.
 _NOT_FORWARDED = frozenset(
@@ -31,6 +40,8 @@
      b"proxy-authorization", DEADLINE.lower().encode(),
      EXPECT_INSTANCE.lower().encode(), CALLER_SERVICE.lower().encode()}
 )  # fmt: skip
+# Headers that say whose a request is.
+_IDENTIFYING = frozenset({AUTHORIZATION_KEY, WORKSPACE.lower().encode()})
 
 
 def forwarded_headers(headers: Iterable[tuple[bytes, bytes]]) -> RawHeaders:
@@ -50,6 +61,34 @@
     )
 
 
+def without_identity(headers: RawHeaders) -> RawHeaders:
+    """Return headers without those that say whose the request is."""
+    return tuple(pair for pair in headers if pair[0].lower() not in _IDENTIFYING)
+
+
+def parse_credential(headers: RawHeaders) -> Credential:
+    """Return what a request's ``Authorization`` header says about its workspace.
+
+    The scheme's name is not case-sensitive (RFC 9110, section 11.1).
+    """
+    values = [value for name, value in headers if name.lower() == AUTHORIZATION_KEY]
+    if not values:
+        return NO_CREDENTIAL
+    if len(values) > 1:
+        return Credential(fault="there are several Authorization headers")
+    scheme, _, rest = values[0].strip(b" \t").partition(b" ")
+    if scheme.lower() != KEY_SCHEME:
+        return Credential(fault="the scheme of the Authorization header is another one")
+    key = rest.strip(b" \t")
+    if not key:
+        return Credential(fault="the key is empty")
+    if len(key) > MAX_KEY_BYTES:
+        return Credential(fault="the key is too long")
+    if _CONTROL_CHARACTER.search(key):
+        return Credential(fault="the key has control characters")
+    return Credential(digest_key(key))
+
+
 def parse_deadline_ms(text: str | None) -> int | None:
     """Return the caller's time budget in milliseconds, or None if absent or invalid."""
     if text is None or not text.isdecimal() or len(text) > 9:
@@ -64,8 +103,12 @@
         call: The call.
         remaining_ms: The remaining time until the call's deadline, in milliseconds.
     """
+    workspace = (
+        ((WORKSPACE.encode(), call.workspace.encode()),) if call.workspace else ()
+    )
     return (
         *call.headers,
+        *workspace,
         (DEADLINE.encode(), str(remaining_ms).encode()),
         (EXPECT_INSTANCE.encode(), call.instance.encode()),
         (CALLER_SERVICE.encode(), call.caller_service.encode()),
--- a/tests/mesh/test_wire.py
+++ b/tests/mesh/test_wire.py
@@ -1,9 +1,15 @@
 """Messages between nodes of different builds."""
 
+import attrs
+import msgpack
+import pytest
+
+from agaterelay.core.call import Call
+from agaterelay.core.checked import DecodeError
 from agaterelay.core.outcome import NotRun
 from agaterelay.core.placing import LoadReport
 from agaterelay.mesh.inbound import CallResult
-from agaterelay.mesh.wire import decode_result, encode_result
+from agaterelay.mesh.wire import decode_call, decode_result, encode_call, encode_result
 
 RESULT = CallResult(
     NotRun("shed", 0.2), True, LoadReport(3, 9, 80.0, 0.1, 17.5, -40.0), 12.5, True
@@ -20,3 +26,33 @@
     decoded = decode_result(encoded)
     assert decoded.report == LoadReport(3, 9, 80.0, 0.1)
     assert not decoded.leaving
+
+
+CALL = Call(
+    "c", "GET", "/", ((b"A", b"b"),), b"", "r", "desk", "v1", "i-1", "desk", True, 1,
+    5.0, 4.0, workspace="acme",
+)  # fmt: skip
+
+
+def transferred(encoded):
+    return msgpack.unpackb(msgpack.packb(encoded))
+
+
+def test_a_call_carries_its_workspace_between_builds():
+    """Guards against builds that cannot run each other's calls during an upgrade."""
+    encoded = transferred(encode_call(CALL, 0.0))
+    assert decode_call(encoded, 0.0) == CALL
+    # The previous build reads 15 items by position, and sends no more than these.
+    assert (
+        encoded[:15]
+        == transferred(encode_call(attrs.evolve(CALL, workspace=""), 0))[:15]
+    )
+    assert decode_call(encoded[:15], 0.0) == attrs.evolve(CALL, workspace="")
+
+
+@pytest.mark.parametrize("name", [7, None, " ", "a\r\nX-Tenant: b", "x" * 97])
+def test_a_call_with_an_unusable_workspace_is_refused(name):
+    """Guards against headers injected at the upstream by another node's message."""
+    encoded = [*transferred(encode_call(CALL, 0.0))[:15], name]
+    with pytest.raises(DecodeError):
+        decode_call(encoded, 0.0)
