--- a/agaterelay/core/workspaces.py
+++ b/agaterelay/core/workspaces.py
@@ -54,11 +54,33 @@
 def index_keys(workspaces: Iterable[Workspace]) -> dict[bytes, Workspace]:
     """Return the workspace of each key digest."""
     index: dict[bytes, Workspace] = {}
-    for workspace in workspaces:
-        index.update(dict.fromkeys(workspace.key_digests, workspace))
+    update_index(index, (), workspaces)
     return index
 
 
+def update_index(
+    index: dict[bytes, Workspace],
+    before: Iterable[Workspace],
+    after: Iterable[Workspace],
+) -> None:
+    """Change an index of some workspaces to that of others.
+
+    Workspaces that were reused from the earlier configuration cost nothing.
+
+    Args:
+        index: The workspace of each key digest; changed in place.
+        before: The workspaces that it holds.
+        after: Those that it shall hold.
+    """
+    earlier = {id(workspace): workspace for workspace in before}
+    added = [item for item in after if earlier.pop(id(item), None) is None]
+    for workspace in earlier.values():
+        for digest in workspace.key_digests:
+            index.pop(digest, None)
+    for workspace in added:
+        index.update(dict.fromkeys(workspace.key_digests, workspace))
+
+
 def identify_caller(keys: KeyIndex, credential: Credential, is_public: bool) -> Caller:
     """Return who a caller is.
 
--- a/agaterelay/mesh/routing.py
+++ b/agaterelay/mesh/routing.py
@@ -12,7 +12,7 @@
     ANYONE,
     Caller,
     identify_caller,
-    index_keys,
+    update_index,
 )
 from agaterelay.mesh.links import is_usable, load_of
 from agaterelay.mesh.request_state import Outbound, Request, RequestState, TrialCounts
@@ -44,7 +44,7 @@
     if workspaces is None:
         return ANYONE
     if outbound.indexed_workspaces is not workspaces:
-        outbound.keys = index_keys(workspaces)
+        update_index(outbound.keys, outbound.indexed_workspaces or (), workspaces)
         outbound.indexed_workspaces = workspaces
     return identify_caller(outbound.keys, request.credential, route.public)
 
--- a/tests/core/test_workspaces.py
+++ b/tests/core/test_workspaces.py
@@ -1,6 +1,7 @@
 """The decision whose a request is."""
 
 import pytest
+from hypothesis import given, strategies as st
 
 from agaterelay.core.model import Workspace
 from agaterelay.core.workspaces import (
@@ -13,6 +14,7 @@
     find_conflicts,
     identify_caller,
     index_keys,
+    update_index,
 )
 
 ACME = Workspace("acme", (digest_key(b"k1"), digest_key(b"k2")))
@@ -48,3 +50,20 @@
         (3, "a key is held by row 1 too"),
         (3, "a key is held by row 2 too"),
     ]
+
+
+WORKSPACES = [
+    Workspace(f"w{number}", tuple(bytes([key]) for key in keys))
+    for number, keys in enumerate([(1, 2), (2, 3), (3,), (), (4, 5), (5, 1)])
+]
+TABLES = st.lists(st.sampled_from(WORKSPACES), unique=True).filter(
+    lambda table: not find_conflicts(table)
+)
+
+
+@given(TABLES, TABLES)
+def test_an_updated_index_is_that_of_the_new_workspaces(before, after):
+    """Guards against keys that were taken away, or moved to another workspace."""
+    index = index_keys(before)
+    update_index(index, before, after)
+    assert index == index_keys(after)
