--- a/agaterelay/cli/options.py
+++ b/agaterelay/cli/options.py
@@ -73,8 +73,8 @@
     return key
 
 
-def read_bytes(path: Path) -> bytes:
-    """Return the content of a file, up to one byte more than a document may have.
+def read_bytes(path: Path, most_bytes: int = MAX_DOCUMENT_BYTES) -> bytes:
+    """Return the content of a file, up to one byte more than it may have.
 
     The extra byte lets the parser find that a document is too large.
 
@@ -83,7 +83,7 @@
     """
     try:
         with path.open("rb") as file:
-            return file.read(MAX_DOCUMENT_BYTES + 1)
+            return file.read(most_bytes + 1)
     except OSError as error:
         message = f"{path}: cannot be read: {error.strerror}"
         raise CommandError(Exit.USAGE, message) from error
--- a/agaterelay/cli/outcome.py
+++ b/agaterelay/cli/outcome.py
@@ -4,7 +4,7 @@
 
 import json
 import sys
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from enum import IntEnum
 from typing import Any
 
@@ -42,13 +42,18 @@
         self.details = details or {}
 
 
+def format_findings(findings: Sequence[Finding], where: str) -> str:
+    """Return findings as lines of text, with a line that counts them."""
+    lines = "\n".join(map(str, findings))
+    return f"{lines}\n{len(findings)} finding(s) {where}; nothing was sent"
+
+
 class FindingsError(CommandError):
     """The document has findings; nothing was sent."""
 
     def __init__(self, findings: Iterable[Finding], where: str) -> None:
         findings = tuple(findings)
-        lines = "\n".join(map(str, findings))
-        message = f"{lines}\n{len(findings)} finding(s) {where}; nothing was sent"
+        message = format_findings(findings, where)
         details = {"findings": [finding_to_json_value(finding) for finding in findings]}
         super().__init__(Exit.FINDINGS, message, details)
 
--- a/agaterelay/core/route_checks.py
+++ b/agaterelay/core/route_checks.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
 from agaterelay.core.model import Finding, Place, Route, RouteTable
 
 
@@ -20,14 +18,19 @@
     """
     place = Place(filename)
     findings = []
-    keys = Counter((route.host, route.path) for route in table.routes)
-    for (host, path), count in keys.items():
-        if count > 1:
-            message = f"{count} routes of host {host!r} have the prefix {path!r}"
+    rows_of: dict[tuple[str, str], list[int]] = {}
+    for number, route in enumerate(table.routes, 1):
+        rows_of.setdefault((route.host, route.path), []).append(number)
+    for (host, path), rows in rows_of.items():
+        if len(rows) > 1:
+            message = (
+                f"{len(rows)} routes of host {host!r} have the prefix {path!r} "
+                f"(rows {', '.join(map(str, rows))}); only the first can match"
+            )
             findings.append(Finding(place, message, "routes"))
-    for route in table.routes:
+    for number, route in enumerate(table.routes, 1):
         findings.extend(
-            Finding(place, message, f"route {route.name}")
+            Finding(place, message, _section_of(number, route))
             for message in _check_route(route, table)
         )
     limits = table.limits
@@ -43,12 +46,40 @@
     return tuple(findings)
 
 
+def note_routes(table: RouteTable, filename: str) -> tuple[Finding, ...]:
+    """Return what is legitimate in routes, but may be an oversight."""
+    return tuple(
+        Finding(
+            Place(filename),
+            f"the weight of {service} is 0, so it gets no request of this route",
+            _section_of(number, route),
+        )
+        for number, route in enumerate(table.routes, 1)
+        for service, weight in route.parts
+        if weight == 0 and any(other > 0 for _, other in route.parts)
+    )
+
+
+def _section_of(number: int, route: Route) -> str:
+    return f"routes, row {number}, route {route.name}"
+
+
 def _check_route(route: Route, table: RouteTable) -> list[str]:
     messages = []
     if not route.path.startswith("/"):
         messages.append(f"the prefix {route.path!r} does not begin with /")
     if route.timeout_ms <= 0:
         messages.append(f"the time-out is {route.timeout_ms} ms; it must be above 0")
+    elif route.timeout_ms < route.target_latency_ms:
+        messages.append(
+            f"the time-out of {route.timeout_ms} ms is below the target latency of "
+            f"{route.target_latency_ms} ms"
+        )
+    # The node compares a request's host without its port, and its path without a query.
+    if ":" in route.host:
+        messages.append(f"the host {route.host!r} has a port, so it can never match")
+    if "?" in route.path:
+        messages.append(f"the prefix {route.path!r} has a query; it can never match")
     if route.max_attempts < 1:
         messages.append(
             f"{route.max_attempts} attempts are allowed; at least 1 is needed"
--- a/agaterelay/platform/headers.py
+++ b/agaterelay/platform/headers.py
@@ -80,13 +80,19 @@
     if scheme.lower() != KEY_SCHEME:
         return Credential(fault="the scheme of the Authorization header is another one")
     key = rest.strip(b" \t")
+    fault = find_key_fault(key)
+    return Credential(fault=fault) if fault else Credential(digest_key(key))
+
+
+def find_key_fault(key: bytes) -> str:
+    """Return why a key is not accepted in a request, empty if it is."""
     if not key:
-        return Credential(fault="the key is empty")
+        return "the key is empty"
     if len(key) > MAX_KEY_BYTES:
-        return Credential(fault="the key is too long")
+        return "the key is too long"
     if _CONTROL_CHARACTER.search(key):
-        return Credential(fault="the key has control characters")
-    return Credential(digest_key(key))
+        return "the key has control characters"
+    return ""
 
 
 def parse_deadline_ms(text: str | None) -> int | None:
