Test that keys reach hosts that cannot read the store, and as small deltas

The tests guard against keys that stay valid on a host that is cut from the store, and against sending all keys of a workspace again for one of them.

--- a/tests/mesh/test_revisions.py
+++ b/tests/mesh/test_revisions.py
@@ -1,5 +1,7 @@
 """A node that is behind learns so, and requests the configuration in time."""
 
+import json
+
 import msgpack
 import pytest
 
@@ -72,6 +74,22 @@
     return behind.state.table, table_frames
 
 
+def test_a_changed_key_of_a_large_workspace_is_told_as_what_differs():
+    """Guards against sending all keys of a workspace over links for one of them."""
+    sources = []
+    for number in (1, 2):
+        tree = json.loads(config(number, [route()]))
+        keys = [f"key-{item:036}" for item in range(2000)]
+        keys[900] = f"key of {number}"
+        rows = [["large", keys, 1], ["small", ["other"], 1]]
+        tree["tenants"] = {"columns": ["name", "apiKeys", "priority"], "rows": rows}
+        sources.append(json.dumps(tree, separators=(",", ":")).encode())
+    table, table_frames = catch_up_from(sources, 1, 2)
+    assert table.source == sources[1]
+    assert [frame[0] for frame in table_frames] == [Frame.TABLE_DELTA]
+    assert len(msgpack.packb(table_frames)) < 300
+
+
 def test_a_node_that_is_a_few_revisions_behind_is_told_what_differs():
     sources = list(documents(4))
     table, table_frames = catch_up_from(sources, 1, 4)
--- a/tests/mesh/test_workspaces.py
+++ b/tests/mesh/test_workspaces.py
@@ -3,9 +3,11 @@
 import asyncio
 import json
 
+import attrs
 import msgpack
 import pytest
 
+from agaterelay.core.deployment import StoreSettings
 from agaterelay.events import EventKind
 from agaterelay.mesh import links
 from standins.instance import announce
@@ -13,7 +15,9 @@
 from tests.mesh.fleet import (
     admin_address,
     config,
+    free_address,
     record_events,
+    restart_node,
     route,
     running_fleet,
     send_request,
@@ -184,6 +188,29 @@
     one_upstream(scenario)
 
 
+def test_a_host_that_cannot_read_the_store_learns_keys_over_links():
+    """Guards against keys that stay valid on hosts that are cut from the store."""
+
+    async def scenario(fleet, host):
+        await configure(fleet, 2, [ACME, ZEN])
+        nobody = StoreSettings(free_address())
+        host.deployment = attrs.evolve(host.deployment, store=nobody)
+        await restart_node(host)
+        await wait_until(lambda: host.node.state.table is not None)
+        await wait_until(lambda: host.node.state.members)
+
+        async def ask(key):
+            headers = {"Authorization": f"Token {key}"}
+            return (await send_request(fleet, host, headers=headers))[0]
+
+        assert await ask(ACME_KEY) == 200
+        await configure(fleet, 3, [["acme", [], 0, 50, 50], ZEN])
+        assert [await ask(ACME_KEY), await ask(ZEN_KEY)] == [401, 200]
+        assert not host.node.state.store_up
+
+    one_upstream(scenario)
+
+
 def test_a_workspace_takes_precedence_over_the_rank_of_a_route(monkeypatch):
     """Guards against urgent workspaces that queue by their route."""
     ranks = []
