--- a/standins/instance.py
+++ b/standins/instance.py
@@ -34,7 +34,8 @@
 
     An answer has ``body_bytes`` bytes if that is not 0, else the expected body.
 
-    ``answer_headers`` are added to every answer, each with its own value, as they are.
+    ``answer_headers`` are added to every answer, each with its own value, as they are,
+    and ``health_headers`` to the answers of the health check.
 
     ``ran`` counts how often each call id ran. ``heads`` and ``bodies`` are the requests of
     the calls that ran; the request line is under the empty name.
@@ -53,6 +54,7 @@
     crash_count: int = 0
     body_bytes: int = 0
     answer_headers: list[tuple[str, str]] = attrs.field(factory=list)
+    health_headers: list[tuple[str, str]] = attrs.field(factory=list)
     ran: Counter[str] = attrs.field(factory=Counter)
     # For each call: its start on the monotonic clock, in seconds, the ``born_ms`` of the
     # instance at that time, and the call id.
@@ -184,7 +186,8 @@
     if line.startswith("GET /healthz"):
         status = 503 if instance.leaving else 200
         own_headers = {"X-Instance-Id": instance.instance}
-        _write(writer, status, own_headers, b"", instance.answer_headers)
+        more = [*instance.answer_headers, *instance.health_headers]
+        _write(writer, status, own_headers, b"", more)
         return
     if headers.get("X-Expect-Instance", instance.instance) != instance.instance:
         own_headers = {"X-Instance-Id": instance.instance, "X-Attempt-Id": call_id}
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -60,8 +60,14 @@
             await asyncio.sleep(0.01)
 
 
-def config(version, routes, services=("desk", "panel")):
-    """Return a configuration in the operator's format."""
+def config(version, routes, services=("desk", "panel"), cold=(None, None)):
+    """Return a configuration in the operator's format.
+
+    ``cold`` has the ``coldStart`` and the ``coldPerS`` of all services.
+    """
+    service_columns = ["name", "healthPath", "maxConnections", "protocol", "tls"]
+    if any(cold):
+        service_columns += ["coldStart", "coldPerS"]
     columns = ["name", "host", "prefix", "kind", "timeout", "targetLatency"]
     columns += ["priority", "service", "maxAttempts", "weightedClusters"]
     return json.dumps(
@@ -69,8 +75,11 @@
             "version": f"{version:08x}",
             "routes": {"columns": columns, "rows": routes},
             "services": {
-                "columns": ["name", "healthPath", "maxConnections", "protocol", "tls"],
-                "rows": [[name, "/healthz", 130, "h1", False] for name in services],
+                "columns": service_columns,
+                "rows": [
+                    [name, "/healthz", 130, "h1", False, *(cold if any(cold) else ())]
+                    for name in services
+                ],
             },
             "limits": {
                 "maxHeaderBytes": 16384,
@@ -128,14 +137,23 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(services=("desk", "desk"), routes=ROUTES, announced=True):
-    """Start a store with a configuration, and one host for each item of ``services``."""
+async def running_fleet(
+    services=("desk", "desk"),
+    routes=ROUTES,
+    announced=True,
+    cold=(None, None),
+    zones="",
+):
+    """Start a store with a configuration, and one host for each item of ``services``.
+
+    ``zones`` has the zone of each host, "a" where it ends.
+    """
     fleet = Fleet(store_address=free_address())
     fleet.session = aiohttp.ClientSession()
     fleet.store_runner = await start_store(fleet.store, fleet.store_address)
-    await put_row(fleet.store, "op", "config", config(1, routes))
-    for service in services:
-        await add_host(fleet, service)
+    await put_row(fleet.store, "op", "config", config(1, routes, cold=cold))
+    for service, zone in zip(services, zones.ljust(len(services), "a"), strict=True):
+        await add_host(fleet, service, zone)
     if announced:
         for host in fleet.hosts:
             assert await announce(host.instance, admin_address(host)) == 200
