Limit the calls to a cold upstream at its inbound proxy

Callers saw upstreams end that got 21 and 24 calls in a second where 19.25 are allowed while cold. The inbound proxy knew from coldLeft that an upstream is cold, and used it for the tallies of moves only.

A token bucket beside the rate limit admits coldPerS calls a second while the upstream is cold: by its announcements, by X-Cold-Ms of its health check, or after it could not be reached until one of these says otherwise. A call that got its slot before the upstream became cold is counted before it is sent. The load report carries the limit like a rate limit, so no frame changes.

--- a/agaterelay/core/slot_queue.py
+++ b/agaterelay/core/slot_queue.py
@@ -6,7 +6,8 @@
 The queue is ordered by rank, then calls that can meet their target before calls that are
 late already, then by the earliest target. A call whose turn would come too late is
 refused on arrival, so that its outbound proxy can place it elsewhere or tell the caller
-when to retry. The rate limit that the upstream names is applied when a call gets its slot.
+when to retry. The rate limit that the upstream names, and the limit while it is cold, are
+applied when a call gets its slot.
 """
 
 from __future__ import annotations
@@ -17,6 +18,14 @@
 
 import attrs
 
+from agaterelay.core.cold_limit import (
+    ColdState,
+    has_cold_token,
+    is_limited,
+    return_cold_token,
+    take_cold_token,
+    wait_for_cold_token_s,
+)
 from agaterelay.core.placing import LoadReport
 from agaterelay.core.rate_limit import (
     MIN_RATE_PER_S,
@@ -42,6 +51,7 @@
 MAX_LATE_WAIT_RATIO = 0.03
 MAX_QUEUED_PER_SLOT = 2.0
 RATE_LIMIT_REASON = "the upstream's rate limit is used up"
+COLD_REASON = "the upstream is cold and accepts few calls"
 # Retries of refused callers are spread over this part of the suggested delay.
 RETRY_JITTER_RATIO = 0.5
 MIN_RETRY_AFTER_S = 0.05
@@ -58,7 +68,8 @@
     """A call's request for a slot; times are on the monotonic clock.
 
     ``estimated_time_s`` is the service time to expect, and ``late`` whether the target
-    could not be met even without waiting.
+    could not be met even without waiting. ``cold_period`` is the period of the cold limit
+    in which the call got its slot.
     """
 
     rank: int
@@ -67,6 +78,7 @@
     estimated_time_s: float = 0.0
     late: bool = False
     call_id: str = ""
+    cold_period: int = 0
 
     def __lt__(self, other: Ticket) -> bool:
         return self._order < other._order
@@ -123,6 +135,7 @@
     shed_at_s: float = float("-inf")
     shed_limit: int = 0
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
+    cold: ColdState = attrs.field(factory=ColdState)
 
 
 def concurrency_limit(queue: SlotQueue, now_s: float) -> int:
@@ -169,20 +182,16 @@
         rng: The random number generator for the jitter of retry delays.
     """
     limit = concurrency_limit(queue, now_s)
-    if (
-        queue.in_use < limit
-        and not queue.waiting
-        and has_token(queue.rate_limit, now_s)
-    ):
-        _use_slot(queue, now_s)
+    if queue.in_use < limit and not queue.waiting and _has_tokens(queue, now_s):
+        _use_slot(queue, ticket, now_s)
         return Granted()
     ahead = sum(1 for other in queue.waiting if not ticket < other)
     slot_wait_s = _wait_for_slot_s(queue, ahead, limit)
-    rate_wait_s = wait_for_token_s(queue.rate_limit, ahead, now_s)
-    if max(slot_wait_s, rate_wait_s) > max_wait_s(ticket, now_s):
+    token_wait_s = _wait_for_tokens_s(queue, ahead, now_s)
+    if max(slot_wait_s, token_wait_s) > max_wait_s(ticket, now_s):
         reason = "no slot in useful time"
-        if rate_wait_s > slot_wait_s:
-            reason = RATE_LIMIT_REASON
+        if token_wait_s > slot_wait_s:
+            reason = limit_reason(queue, now_s)
         return Refused(reason, compute_retry_after_s(queue, limit, now_s, rng))
     evicted = None
     if len(queue.waiting) >= MAX_QUEUED_PER_SLOT * limit:
@@ -196,9 +205,46 @@
     return Queued(evicted)
 
 
-def _use_slot(queue: SlotQueue, now_s: float) -> None:
+def _use_slot(queue: SlotQueue, ticket: Ticket, now_s: float) -> None:
     queue.in_use += 1
     take_token(queue.rate_limit, now_s)
+    ticket.cold_period = take_cold_token(queue.cold, now_s)
+
+
+def _has_tokens(queue: SlotQueue, now_s: float) -> bool:
+    return has_token(queue.rate_limit, now_s) and has_cold_token(queue.cold, now_s)
+
+
+def _wait_for_tokens_s(queue: SlotQueue, ahead: int, now_s: float) -> float:
+    """Return how long a call waits for both limits, negative if tokens are left over."""
+    waits_s = []
+    if queue.rate_limit.rate_per_s is not None:
+        waits_s.append(wait_for_token_s(queue.rate_limit, ahead, now_s))
+    if is_limited(queue.cold, now_s):
+        waits_s.append(wait_for_cold_token_s(queue.cold, ahead, now_s))
+    return max(waits_s, default=0.0)
+
+
+def limit_reason(queue: SlotQueue, now_s: float) -> str:
+    """Return which of the upstream's limits a call waits for longest."""
+    if wait_for_cold_token_s(queue.cold, 0, now_s) > wait_for_token_s(
+        queue.rate_limit, 0, now_s
+    ):
+        return COLD_REASON
+    return RATE_LIMIT_REASON
+
+
+def is_still_accepted(queue: SlotQueue, ticket: Ticket, now_s: float) -> bool:
+    """Return whether a call that has a slot may be sent now, and count it if so.
+
+    The upstream may have become cold since the call got its slot.
+    """
+    if ticket.cold_period == queue.cold.period or not is_limited(queue.cold, now_s):
+        return True
+    if not has_cold_token(queue.cold, now_s):
+        return False
+    ticket.cold_period = take_cold_token(queue.cold, now_s)
+    return True
 
 
 def _wait_for_slot_s(queue: SlotQueue, ahead: int, limit: int) -> float:
@@ -219,21 +265,21 @@
     waiting = len(queue.waiting)
     delay_s = max(
         (waiting + 1) * queue.service_time_s / limit,
-        wait_for_token_s(queue.rate_limit, waiting, now_s),
+        _wait_for_tokens_s(queue, waiting, now_s),
     )
     spread_s = delay_s * (1 + RETRY_JITTER_RATIO * rng.random())
     return round(min(max(spread_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S), 3)
 
 
 def wait_for_rate_limit_s(queue: SlotQueue, now_s: float) -> float | None:
-    """Return how long the first waiting call waits for nothing but the rate limit.
+    """Return how long the first waiting call waits for nothing but the limits.
 
     Returns:
         None if no call waits, or if it waits for a slot.
     """
     if not queue.waiting or queue.in_use >= concurrency_limit(queue, now_s):
         return None
-    return max(wait_for_token_s(queue.rate_limit, 0, now_s), 0.0)
+    return max(_wait_for_tokens_s(queue, 0, now_s), 0.0)
 
 
 def release_slot(queue: SlotQueue) -> None:
@@ -241,10 +287,11 @@
     queue.in_use -= 1
 
 
-def release_unused_slot(queue: SlotQueue) -> None:
-    """Release the slot of a call that was not sent; it counts for no rate limit."""
+def release_unused_slot(queue: SlotQueue, ticket: Ticket) -> None:
+    """Release the slot of a call that was not sent; it counts for no limit."""
     release_slot(queue)
     return_token(queue.rate_limit)
+    return_cold_token(queue.cold, ticket.cold_period)
 
 
 def remove_ticket(queue: SlotQueue, ticket: Ticket) -> None:
@@ -264,7 +311,7 @@
     granted: list[Ticket] = []
     late: list[Ticket] = []
     limit = concurrency_limit(queue, now_s)
-    while queue.waiting and queue.in_use < limit and has_token(queue.rate_limit, now_s):
+    while queue.waiting and queue.in_use < limit and _has_tokens(queue, now_s):
         ticket = queue.waiting.pop(0)
         if (
             ticket.deadline_s - now_s
@@ -272,7 +319,7 @@
         ):
             late.append(ticket)
             continue
-        _use_slot(queue, now_s)
+        _use_slot(queue, ticket, now_s)
         granted.append(ticket)
     return granted, late
 
@@ -319,13 +366,16 @@
 def make_load_report(queue: SlotQueue, now_s: float) -> LoadReport:
     """Return the load that outbound proxies use to place calls."""
     waiting = len(queue.waiting)
-    rate_per_s = queue.rate_limit.rate_per_s
-    rate_wait_s = wait_for_token_s(queue.rate_limit, waiting, now_s)
+    rates_per_s = []
+    if queue.rate_limit.rate_per_s is not None:
+        rates_per_s.append(max(queue.rate_limit.rate_per_s, MIN_RATE_PER_S))
+    if queue.cold.rate_per_s is not None and is_limited(queue.cold, now_s):
+        rates_per_s.append(queue.cold.rate_per_s)
     return LoadReport(
         in_flight=queue.in_use + waiting,
         slots=queue.slots,
         work_ms=round(queue.service_time_s * 1000, 1),
         failing=round(failure_ratio(queue, now_s), 3),
-        rate_limit_per_s=0.0 if rate_per_s is None else max(rate_per_s, MIN_RATE_PER_S),
-        rate_wait_ms=round(rate_wait_s * 1000),
+        rate_limit_per_s=min(rates_per_s, default=0.0),
+        rate_wait_ms=round(_wait_for_tokens_s(queue, waiting, now_s) * 1000),
     )
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -31,6 +31,7 @@
     record_library_warnings,
 )
 from agaterelay.core.checked import DecodeError, check_name
+from agaterelay.core.cold_limit import assume_cold, is_limited
 from agaterelay.core.deployment import Deployment
 from agaterelay.core.memory_account import MemoryAccount, plan_limit_bytes, release
 from agaterelay.core.model import CallerLimits
@@ -44,7 +45,7 @@
 from agaterelay.mesh.callers import limits_in_force, reserve_body
 from agaterelay.mesh.crashes import Crashes, list_suspects, release_request
 from agaterelay.mesh.feeds import apply_config
-from agaterelay.mesh.inbound import Inbound, WireFormat
+from agaterelay.mesh.inbound import Inbound, WireFormat, treat_as_cold
 from agaterelay.mesh.link import Links
 from agaterelay.mesh.meters import Meters
 from agaterelay.mesh.mover import Mover, VerdictRowFormat
@@ -59,7 +60,7 @@
 )
 from agaterelay.mesh.notifications import broadcast_frame
 from agaterelay.mesh.request_state import Outbound, Request
-from agaterelay.mesh.state import MeshState, NodeContext, revision_of
+from agaterelay.mesh.state import MeshState, NodeContext, cold_limit_of, revision_of
 from agaterelay.mesh.store_watch import (
     OperatorRowFormat,
     StoreWatch,
@@ -81,6 +82,7 @@
     headers=headers.upstream_headers,
     outcome=headers.decode_upstream_outcome,
     signals=headers.decode_upstream_signals,
+    cold_left_s=headers.decode_cold_left_s,
     id_header=headers.ATTEMPT_ID_KEY,
     instance_header=headers.INSTANCE_ID_KEY,
 )
@@ -110,6 +112,9 @@
     account = MemoryAccount(plan_limit_bytes(deployment.memory_mb << 20))
     inbound = Inbound(context, WIRE, pool, crashes, account)
     inbound.line.unconfirmed = not deployment.first_start
+    assume_cold(inbound.queue.cold, clock.monotonic_s())
+    inbound.cold_limit = partial(cold_limit_of, state, deployment.service)
+    crashes.on_unreachable = partial(treat_as_cold, inbound, "no connection")
     watch: StoreWatch | None = None
 
     def apply_document(value: bytes) -> None:
@@ -212,6 +217,8 @@
     gauges["calls_waiting"] = len(node.inbound.queue.waiting)
     gauges["upstream_rate_limited"] = rate_limit.rate_per_s is not None
     gauges["upstream_rate_limit_per_second"] = rate_limit.rate_per_s or 0.0
+    cold = node.inbound.queue.cold
+    gauges["upstream_cold"] = is_limited(cold, node.context.clock.monotonic_s())
     gauges["links_up"] = sum(link.usable for link in node.links.links.values())
     gauges["body_bytes"] = node.inbound.account.used_bytes
     gauges["requests_held"] = node.inbound.crashes.held_count
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -48,6 +48,7 @@
         317,
         "An upstream ended with calls in hand; some are suspected.",
     )
+    UPSTREAM_COLD = (318, "An upstream became cold, or said that it is not cold.")
     CALL_NOT_RUN = (400, "A call was rejected before any of it ran.")
     CALL_UNKNOWN = (401, "It is unknown whether a call ran.")
     CALL_FAILED = (402, "An upstream answered a call with a server error.")
--- a/agaterelay/mesh/announcements.py
+++ b/agaterelay/mesh/announcements.py
@@ -16,9 +16,12 @@
 from agaterelay.core.membership import UpstreamInfo
 from agaterelay.events import EventKind
 from agaterelay.mesh.inbound import (
+    SILENCE_LIMIT_HEARTBEATS,
     Inbound,
+    apply_announcement_cold,
     apply_upstream_state,
     reset_instance_state,
+    treat_as_cold,
 )
 from agaterelay.mesh.member_rows import publish_own_member, try_write_own_row
 from agaterelay.mesh.store_watch import StoreWatch
@@ -31,8 +34,6 @@
 # of the health check. The upstream announces itself again only after a heartbeat.
 TABLE_WAIT_S = 0.4
 TABLE_POLL_S = 0.02
-# Allows for announcements that are some seconds late.
-SILENCE_LIMIT_HEARTBEATS = 4
 
 
 async def handle_announcement(
@@ -50,6 +51,8 @@
         != (announcement.instance, announcement.born_ms)
     ):
         reset_instance_state(inbound)
+    if line.current is announcement:
+        apply_announcement_cold(inbound, announcement.warm_up_s)
     if line.unconfirmed and not announcement.draining and line.current is announcement:
         changed = await _confirm_by_probe(
             watch, inbound, announcement.instance
@@ -187,6 +190,7 @@
     if line.state is not UpstreamState.READY or quiet_s < limit_s:
         return
     line.state = UpstreamState.UNKNOWN
+    treat_as_cold(inbound, "silent")
     watch.context.record(
         EventKind.UPSTREAM_WITHDRAWN,
         instance=line.current.instance if line.current else "",
--- a/agaterelay/mesh/crashes.py
+++ b/agaterelay/mesh/crashes.py
@@ -45,6 +45,7 @@
     """The crashes that a node has noticed or heard of.
 
     Attributes:
+        on_unreachable: Called when the upstream refused a connection.
         tell: Sends a frame to all linked nodes but the one that it came from.
         lost: The requests whose connection broke since the last check.
         check: The check in progress.
@@ -55,6 +56,7 @@
     context: NodeContext
     pool: HttpPool
     suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    on_unreachable: Callable[[], None] = lambda: None
     tell: Callable[[list[Any], FrameConnection | None], None] = lambda frame, skip: None
     lost: list[Key] = attrs.field(factory=list)
     check: asyncio.Task[None] | None = None
@@ -88,6 +90,7 @@
     try:
         connection = await crashes.pool.acquire(clock.monotonic_s())
     except NotSentError as error:
+        crashes.on_unreachable()
         if isinstance(error.__cause__, ConnectionError):
             _report_crash(crashes, lost, instance)
     else:
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -30,21 +30,32 @@
     apply_leaving_answer,
 )
 from agaterelay.core.call import Call, RawHeaders
+from agaterelay.core.cold_limit import (
+    apply_announced_cold,
+    apply_new_start,
+    apply_probed_cold,
+    assume_cold,
+    is_limited,
+    update_cold_limit,
+)
 from agaterelay.core.crash_suspects import Key, is_held, request_key
 from agaterelay.core.evidence import Tally, add_calls
 from agaterelay.core.memory_account import MemoryAccount
+from agaterelay.core.model import ColdLimit
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
 from agaterelay.core.rate_limit import RateLimit, update_rate
 from agaterelay.core.signals import UpstreamSignals
 from agaterelay.core.slot_queue import (
-    RATE_LIMIT_REASON,
+    COLD_REASON,
     Queued,
     Refused,
     SlotQueue,
     Ticket,
     compute_retry_after_s,
     grant_free_slots,
+    is_still_accepted,
+    limit_reason,
     make_load_report,
     make_ticket,
     max_wait_s,
@@ -70,6 +81,8 @@
 # Retry-after of calls that are refused for another reason than load: another upstream
 # has a free slot, or will have one soon.
 DRAINING_RETRY_S = 0.1
+# Allows for announcements that are some seconds late.
+SILENCE_LIMIT_HEARTBEATS = 4
 # One of this many calls is logged, besides all that failed.
 CALLS_PER_LOG_LINE = 50
 
@@ -116,6 +129,8 @@
             id of the call.
         signals: Returns what an answer says about the upstream, given its status and
             headers; None if another instance gave it.
+        cold_left_s: Returns how long the upstream stays cold by the headers of an answer
+            of its health check; None if they don't say.
         id_header: The lower-case name of the header that carries the call's id.
         instance_header: The lower-case name of the header that names the instance.
     """
@@ -123,6 +138,7 @@
     headers: Callable[[Call, int], RawHeaders]
     outcome: Callable[[int, RawHeaders, bytes, str], Outcome]
     signals: Callable[[int, RawHeaders], UpstreamSignals | None]
+    cold_left_s: Callable[[RawHeaders], float | None]
     id_header: bytes
     instance_header: bytes
 
@@ -142,8 +158,9 @@
         in_flight: The number of calls that are queued or running.
         on_leaving: Called when an answer has said that the upstream leaves, with the
             state before.
-        grant_timer: Fires when the first waiting call may be sent under the rate limit,
-            None if no call waits for that.
+        cold_limit: Returns what the service's cold upstreams accept, None for no limit.
+        is_evacuated: Returns whether this host's zone is evacuated.
+        grant_timer: Fires when the first waiting call may be sent under the limits, None if no call waits for that.
         call_count: The number of calls that the upstream has run; selects the calls
             that are logged.
     """
@@ -161,6 +178,8 @@
     )
     in_flight: int = 0
     on_leaving: Callable[[UpstreamState], None] = lambda previous_state: None
+    cold_limit: Callable[[], ColdLimit | None] = lambda: None
+    is_evacuated: Callable[[], bool] = lambda: False
     grant_timer: asyncio.TimerHandle | None = None
     call_count: int = 0
     stopping: bool = False
@@ -169,11 +188,19 @@
 
 def report_load(inbound: Inbound) -> LoadReport:
     """Return the load that outbound proxies use to place calls."""
+    refresh_cold_limit(inbound)
     return make_load_report(inbound.queue, inbound.context.clock.monotonic_s())
 
 
 def find_refusal_reason(inbound: Inbound) -> str | None:
     """Return why no call is admitted now, or None if calls are admitted."""
+    if inbound.is_evacuated():
+        return "the zone is evacuated"
+    return _find_leaving_reason(inbound)
+
+
+def _find_leaving_reason(inbound: Inbound) -> str | None:
+    """Return why the upstream's end is expected, or None if it is not."""
     if inbound.stopping:
         return "the node is stopping"
     if inbound.line.state is not UpstreamState.READY:
@@ -201,10 +228,95 @@
 
 
 def reset_instance_state(inbound: Inbound) -> None:
-    """Drop the connections to the previous instance, its failure ratio and its limit."""
+    """Drop the connections to the previous instance, its failure ratio and its limits."""
     inbound.pool.close()
     inbound.queue.failing = 0.0
     inbound.queue.rate_limit = RateLimit()
+    apply_new_start(inbound.queue.cold)
+
+
+def refresh_cold_limit(inbound: Inbound) -> None:
+    """Apply the cold limit in force, and whether the upstream has been silent too long.
+
+    A frozen host may run calls before it notices the silence otherwise.
+    """
+    limit = inbound.cold_limit()
+    cold = inbound.queue.cold
+    if limit is None and cold.rate_per_s is None:
+        return
+    now_s = inbound.context.clock.monotonic_s()
+    deployment = inbound.context.deployment
+    update_cold_limit(
+        cold,
+        limit.rate_per_s if limit else None,
+        deployment.bounds.cold_ratio,
+        deployment.bounds.cold_slack,
+        now_s,
+    )
+    quiet_s = now_s - inbound.line.last_received_s
+    if (
+        inbound.line.state is UpstreamState.READY
+        and quiet_s >= SILENCE_LIMIT_HEARTBEATS * deployment.heartbeat_s
+    ):
+        treat_as_cold(inbound, "silent")
+
+
+def treat_as_cold(inbound: Inbound, reason: str) -> None:
+    """Treat the upstream as cold until it says otherwise, as it could not be reached."""
+    _apply_cold(
+        inbound,
+        reason,
+        lambda now_s: assume_cold(inbound.queue.cold, now_s),
+    )
+
+
+def apply_announcement_cold(inbound: Inbound, left_s: float) -> None:
+    """Apply how long the upstream stays cold by its announcement, in seconds."""
+    _apply_cold(
+        inbound,
+        "announcement",
+        lambda now_s: apply_announced_cold(inbound.queue.cold, left_s, now_s),
+    )
+
+
+def apply_health_cold(inbound: Inbound, left_s: float, sent_s: float) -> None:
+    """Apply how long the upstream stays cold by its health check, in seconds.
+
+    Args:
+        inbound: The inbound proxy.
+        left_s: How long it stays cold, in seconds.
+        sent_s: When the health check was sent, on the monotonic clock.
+    """
+    _apply_cold(
+        inbound,
+        "health check",
+        lambda now_s: apply_probed_cold(inbound.queue.cold, left_s, sent_s, now_s),
+    )
+
+
+def _apply_cold(inbound: Inbound, source: str, apply: Callable[[float], None]) -> None:
+    """Apply what is known of the upstream's cold state; log it if that changes it."""
+    now_s = inbound.context.clock.monotonic_s()
+    cold = inbound.queue.cold
+    before = (is_limited(cold, now_s), cold.is_assumed)
+    apply(now_s)
+    limited = is_limited(cold, now_s)
+    if cold.rate_per_s is None or (limited, cold.is_assumed) == before:
+        return
+    current = inbound.line.current
+    until_s = max(cold.announced_until_s, cold.probed_until_s)
+    inbound.context.record(
+        EventKind.UPSTREAM_COLD,
+        instance=current.instance if current else "",
+        cold=limited,
+        assumed=cold.is_assumed,
+        left_ms=round(max(until_s - now_s, 0.0) * 1000) if limited else 0,
+        rate_per_s=cold.rate_per_s,
+        source=source,
+        in_use=inbound.queue.in_use,
+        waiting=len(inbound.queue.waiting),
+    )
+    _grant_next(inbound)
 
 
 async def run_call(inbound: Inbound, call: Call) -> CallResult:
@@ -213,6 +325,7 @@
     On cancellation, a queued call is removed from the queue; for a running call the
     connection is closed, so that the upstream stops working on it.
     """
+    refresh_cold_limit(inbound)
     reason = find_refusal_reason(inbound)
     announcement = inbound.line.current
     if (
@@ -226,16 +339,18 @@
     arrived_s = inbound.context.clock.monotonic_s()
     inbound.in_flight += 1
     try:
-        refusal = await _acquire_slot(inbound, call)
-        if refusal is not None:
-            return CallResult(refusal, False, report_load(inbound))
-        release = release_slot
+        ticket = await _acquire_slot(inbound, call)
+        if isinstance(ticket, NotRun):
+            return CallResult(ticket, False, report_load(inbound))
+        was_sent = True
         try:
-            run = await _run_in_slot(inbound, call, arrived_s)
-            if not run.was_sent:
-                release = release_unused_slot
+            run = await _run_in_slot(inbound, call, ticket, arrived_s)
+            was_sent = run.was_sent
         finally:
-            release(inbound.queue)
+            if was_sent:
+                release_slot(inbound.queue)
+            else:
+                release_unused_slot(inbound.queue, ticket)
             _grant_next(inbound)
         return CallResult(
             outcome=run.outcome,
@@ -258,8 +373,8 @@
         inbound.in_flight -= 1
 
 
-async def _acquire_slot(inbound: Inbound, call: Call) -> NotRun | None:
-    """Wait for a slot; return the refusal, or None if the call has a slot."""
+async def _acquire_slot(inbound: Inbound, call: Call) -> Ticket | NotRun:
+    """Wait for a slot; return the refusal, or the ticket if the call has a slot."""
     now_s = inbound.context.clock.monotonic_s()
     ticket = make_ticket(
         inbound.queue, call.route, call.rank, call.target_s, call.deadline_s, now_s
@@ -268,7 +383,7 @@
     if isinstance(answer, Refused):
         return NotRun(answer.reason, answer.retry_after_s)
     if not isinstance(answer, Queued):
-        return None
+        return ticket
     if answer.evicted is not None:
         _resolve_waiter(
             inbound,
@@ -283,11 +398,12 @@
         async with asyncio.timeout(max_wait_s(ticket, now_s)):
             refusal = await future
             resolved = True
-            return refusal
+            return ticket if refusal is None else refusal
     except TimeoutError:
         reason = "no slot came free in useful time"
-        if wait_for_rate_limit_s(inbound.queue, inbound.context.clock.monotonic_s()):
-            reason = RATE_LIMIT_REASON
+        now_s = inbound.context.clock.monotonic_s()
+        if wait_for_rate_limit_s(inbound.queue, now_s):
+            reason = limit_reason(inbound.queue, now_s)
         return NotRun(reason, _retry_after_s(inbound))
     finally:
         inbound.waiters.pop(ticket, None)
@@ -295,7 +411,7 @@
         if not resolved and _was_granted(future):
             # The slot was granted in the same turn of the event loop as the timeout or
             # the cancellation, so the call won't use it.
-            release_unused_slot(inbound.queue)
+            release_unused_slot(inbound.queue, ticket)
             _grant_next(inbound)
 
 
@@ -316,7 +432,7 @@
     granted, expired = grant_free_slots(inbound.queue, now_s)
     for ticket in granted:
         if not _resolve_waiter(inbound, ticket, None):
-            release_unused_slot(inbound.queue)
+            release_unused_slot(inbound.queue, ticket)
     for ticket in expired:
         outcome = NotRun("its turn came too late", _retry_after_s(inbound))
         _resolve_waiter(inbound, ticket, outcome)
@@ -324,7 +440,7 @@
 
 
 def _schedule_grant(inbound: Inbound) -> None:
-    """Grant the next slot when the rate limit allows it, if a call waits for that."""
+    """Grant the next slot when the limits allow it, if a call waits for that."""
     if inbound.grant_timer is not None:
         inbound.grant_timer.cancel()
         inbound.grant_timer = None
@@ -340,7 +456,9 @@
     return compute_retry_after_s(queue, queue.slots, now_s, inbound.rng)
 
 
-async def _run_in_slot(inbound: Inbound, call: Call, arrived_s: float) -> Run:
+async def _run_in_slot(
+    inbound: Inbound, call: Call, ticket: Ticket, arrived_s: float
+) -> Run:
     """Run a call that has a slot."""
     clock = inbound.context.clock
     # The upstream may have started to drain while the call was queued.
@@ -352,12 +470,19 @@
         connection = await inbound.pool.acquire(started_s)
     except NotSentError as error:
         record_call_end(inbound.queue, True, clock.monotonic_s())
+        treat_as_cold(inbound, "no connection")
         return Run(NotRun(f"the upstream accepts no connection: {error}", 0.1))
     key = request_key(call.service, call.method, call.path, call.body)
     reason = find_refusal_reason(inbound)
     if is_held(inbound.crashes.suspects, key, clock.monotonic_s()):
         reason = describe_hold(key)
     remaining_s = call.deadline_s - clock.monotonic_s()
+    if (
+        reason is None
+        and remaining_s > 0
+        and not is_still_accepted(inbound.queue, ticket, clock.monotonic_s())
+    ):
+        reason = COLD_REASON
     if reason is not None or remaining_s <= 0:
         inbound.pool.release(connection, clock.monotonic_s())
         return Run(NotRun(reason or "its deadline passed", DRAINING_RETRY_S))
@@ -370,7 +495,7 @@
         return Run(NotRun(f"the connection closed before the call: {error}"))
     except AnswerLostError as error:
         outcome: Outcome = Unknown(f"the answer was lost: {error}")
-        if find_refusal_reason(inbound) is None:
+        if _find_leaving_reason(inbound) is None:
             crashes = await confirm_crash(inbound.crashes, key, call.instance)
     except TimeoutError:
         reason = "the upstream did not answer before the deadline"
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -10,7 +10,7 @@
 from agaterelay.core.deployment import Deployment
 from agaterelay.core.fingerprint import fingerprint
 from agaterelay.core.membership import Member
-from agaterelay.core.model import MoveState, RouteTable
+from agaterelay.core.model import ColdLimit, MoveState, RouteTable
 from agaterelay.core.trial import MoveRecord, Order, choose_versions
 from agaterelay.ports import Clock, Store
 
@@ -77,6 +77,11 @@
     return state.table.revision if state.table else 0
 
 
+def cold_limit_of(state: MeshState, service: str) -> ColdLimit | None:
+    """Return what cold upstreams of a service accept, None if there is no limit."""
+    return state.table.cold_limits.get(service) if state.table else None
+
+
 def clear_derived_caches(state: MeshState) -> None:
     """Clear what was derived from members, orders and moves."""
     state.versions.clear()
--- a/agaterelay/mesh/upstream_probe.py
+++ b/agaterelay/mesh/upstream_probe.py
@@ -7,7 +7,12 @@
 from agaterelay.adapters.http_pool import AnswerLostError, NotSentError, render_head
 from agaterelay.core.signals import NO_SIGNALS
 from agaterelay.events import EventKind
-from agaterelay.mesh.inbound import Inbound, apply_signals, current_start
+from agaterelay.mesh.inbound import (
+    Inbound,
+    apply_health_cold,
+    apply_signals,
+    current_start,
+)
 
 # An announcement is confirmed within one second, and the probe is part of that time.
 PROBE_TIMEOUT_S = 0.5
@@ -16,8 +21,8 @@
 async def probe_upstream(inbound: Inbound, path: str, instance: str) -> bool:
     """Return whether the upstream's health check succeeds and names this instance.
 
-    Its answer also says whether the upstream has a rate limit, or is about to leave. If
-    it says nothing about that, nothing changes.
+    Its answer also says whether the upstream has a rate limit, is cold, or is about to
+    leave. If it says nothing about that, nothing changes.
     """
     clock = inbound.context.clock
     started_s = clock.monotonic_s()
@@ -53,6 +58,9 @@
     )
     if answering_instance != instance:
         return False
+    cold_left_s = inbound.wire.cold_left_s(answer.headers)
+    if cold_left_s is not None:
+        apply_health_cold(inbound, cold_left_s, started_s)
     if signals != NO_SIGNALS:
         apply_signals(inbound, signals, started_s, current_start(inbound), "")
     return answer.status == 200 and not signals.leaving
--- a/agaterelay/platform/config.py
+++ b/agaterelay/platform/config.py
@@ -11,12 +11,20 @@
     MALFORMED,
     MAX_WHOLE,
     check_name,
+    check_number,
     check_path,
     check_text,
     check_whole,
     load_json,
 )
-from agaterelay.core.model import CallerLimits, Finding, Place, Route, RouteTable
+from agaterelay.core.model import (
+    CallerLimits,
+    ColdLimit,
+    Finding,
+    Place,
+    Route,
+    RouteTable,
+)
 from agaterelay.platform.units import parse_seconds
 
 CONFIG_KEY = "config"
@@ -81,11 +89,15 @@
             routes.append(route)
             decoded[key] = route
     health_paths: dict[str, str] = {}
+    cold_limits: dict[str, ColdLimit] = {}
     for number, row in enumerate(service_rows, 1):
         try:
             health_paths[check_name(row["name"])] = check_path(
                 row.get("healthPath") or "/"
             )
+            cold_limit = _decode_cold_limit(row)
+            if cold_limit is not None:
+                cold_limits[row["name"]] = cold_limit
         except MALFORMED as error:
             add_finding(f"services, row {number}", error)
     if findings:
@@ -93,7 +105,14 @@
     if known is not None:
         known.columns, known.routes = columns, decoded
     return (
-        RouteTable(revision, tuple(routes), health_paths, limits, source=value),
+        RouteTable(
+            revision,
+            tuple(routes),
+            health_paths,
+            limits,
+            cold_limits=cold_limits,
+            source=value,
+        ),
         (),
     )
 
@@ -149,6 +168,15 @@
     return parse_seconds(fields[name]) if name in fields else default_s
 
 
+def _decode_cold_limit(fields: Mapping[str, Any]) -> ColdLimit | None:
+    """Return a service's cold limit, None if one of its fields is absent or 0."""
+    duration_s = parse_seconds(fields["coldStart"]) if fields.get("coldStart") else 0.0
+    rate_per_s = check_number(fields.get("coldPerS", 0))
+    if rate_per_s < 0:
+        raise ValueError("coldPerS must not be negative")
+    return ColdLimit(duration_s, rate_per_s) if duration_s and rate_per_s else None
+
+
 def _decode_route(fields: Mapping[str, Any], place: Place) -> Route:
     parts = tuple(
         (check_name(part["service"]), check_whole(part["weight"], -MAX_WHOLE))
--- a/agaterelay/platform/headers.py
+++ b/agaterelay/platform/headers.py
@@ -20,6 +20,7 @@
 INSTANCE_ID_KEY = b"x-instance-id"
 RATE_LIMIT_KEY = b"server-limit"
 LEAVING_KEY = b"server-leaving"
+COLD_KEY = b"x-cold-ms"
 MISDIRECTED = 421
 MAX_RETRY_AFTER_S = 30.0
 _MAX_NUMBER_LENGTH = 32
@@ -130,3 +131,17 @@
         invalid = b", ".join(limits)[:_MAX_NUMBER_LENGTH].decode("latin-1")
         return UpstreamSignals(invalid_limit=invalid or "(empty)", leaving=leaving)
     return UpstreamSignals(rate_limit_per_s=float(text), leaving=leaving)
+
+
+def decode_cold_left_s(headers: RawHeaders) -> float | None:
+    """Return how long an upstream stays cold, in seconds, by its health check.
+
+    Returns:
+        None if the header is absent, given twice or invalid.
+    """
+    values = [value.strip() for name, value in headers if name.lower() == COLD_KEY]
+    if len(values) != 1 or len(values[0]) > _MAX_NUMBER_LENGTH:
+        return None
+    if not _DECIMAL_NUMBER.fullmatch(values[0]):
+        return None
+    return float(values[0]) / 1000
--- a/tests/core/test_rate_limit.py
+++ b/tests/core/test_rate_limit.py
@@ -159,8 +159,9 @@
 
 def test_a_call_that_is_not_sent_after_all_leaves_its_token_to_the_next():
     queue = SlotQueue(9, rate_limit=limit_of(2.0))
-    assert request_slot(queue, ticket(), 0.5, RNG) == Granted()
-    release_unused_slot(queue)
+    unused = ticket()
+    assert request_slot(queue, unused, 0.5, RNG) == Granted()
+    release_unused_slot(queue, unused)
     assert request_slot(queue, ticket(), 0.5, RNG) == Granted()
     release_slot(queue)
     assert request_slot(queue, ticket(), 0.5, RNG) == Queued()
