Keep an evacuated zone's upstreams free of requests

An operator's row evacuate/ZONE had no effect: a request to an evacuated zone was served there. Feeds decode the row, a version of the store orders its beginning and end, and nodes pass both on behind the known items of the frames HELLO and NEWS. Outbound proxies don't choose upstreams of the zone, inbound proxies there refuse calls and hold an upstream for cold at the end. A full read ends an evacuation whose row is gone.

--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -33,6 +33,7 @@
 from agaterelay.core.checked import DecodeError, check_name
 from agaterelay.core.cold_limit import assume_cold, is_limited
 from agaterelay.core.deployment import Deployment
+from agaterelay.core.evacuation import is_evacuated
 from agaterelay.core.memory_account import MemoryAccount, plan_limit_bytes, release
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
@@ -98,6 +99,7 @@
         config_key=config.CONFIG_KEY,
         decode_config=partial(config.decode_config, known=config.KnownRoutes()),
         decode_order=orders.decode_order,
+        decode_evacuation=orders.decode_evacuation,
     )
 
 
@@ -113,6 +115,7 @@
     inbound = Inbound(context, WIRE, pool, crashes, account)
     inbound.line.unconfirmed = not deployment.first_start
     assume_cold(inbound.queue.cold, clock.monotonic_s())
+    inbound.is_evacuated = partial(is_evacuated, state.evacuations, deployment.zone)
     inbound.cold_limit = partial(cold_limit_of, state, deployment.service)
     crashes.on_unreachable = partial(treat_as_cold, inbound, "no connection")
     watch: StoreWatch | None = None
@@ -219,6 +222,9 @@
     gauges["upstream_rate_limit_per_second"] = rate_limit.rate_per_s or 0.0
     cold = node.inbound.queue.cold
     gauges["upstream_cold"] = is_limited(cold, node.context.clock.monotonic_s())
+    gauges["zones_evacuated"] = sum(
+        item.is_ordered for item in node.state.evacuations.values()
+    )
     gauges["links_up"] = sum(link.usable for link in node.links.links.values())
     gauges["body_bytes"] = node.inbound.account.used_bytes
     gauges["requests_held"] = node.inbound.crashes.held_count
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -28,6 +28,7 @@
         "The zone's readers or lead, or the store's reachability changed.",
     )
     STORE_ANSWER_TIME = (214, "The store began or ceased to answer slowly.")
+    EVACUATION_CHANGED = (215, "The evacuation of a zone was ordered or has ended.")
     FLOOR_KNOWN = (212, "A restarted node learned the lowest revision it may serve.")
     MEMBER_CHANGED = (300, "A host's member record changed.")
     MEMBER_REFUTED = (301, "This host refuted another host's claim about its state.")
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -15,12 +15,13 @@
 
 from agaterelay.core.catch_up import record_held_revision
 from agaterelay.core.checked import DecodeError
+from agaterelay.core.evacuation import find_missed_ends
 from agaterelay.core.feed_pacing import must_read_anew, transfer_s
 from agaterelay.events import EventKind
 from agaterelay.mesh.link import NEVER_S
 from agaterelay.mesh.links import refresh_links
 from agaterelay.mesh.member_rows import apply_own_row, republish_own_row
-from agaterelay.mesh.notifications import log_move, log_order
+from agaterelay.mesh.notifications import change_evacuation, log_move, log_order
 from agaterelay.mesh.readers import (
     broadcast_revision,
     has_read_all,
@@ -109,6 +110,11 @@
         if not row.deleted:
             apply_config(watch, row.value, "store")
         return
+    evacuation = watch.formats.decode_evacuation(row)
+    if evacuation is not None:
+        if change_evacuation(watch.links, evacuation, "store"):
+            broadcast_revision(watch)
+        return
     order = watch.formats.decode_order(row)
     if order is not None and apply_order(watch.state, order):
         log_order(watch.context, order, "store")
@@ -220,6 +226,8 @@
                 changes = await watch.context.store.read_table(table)
                 if table == FLEET_TABLE:
                     _remove_missing_members(watch, changes)
+                else:
+                    _end_missing_evacuations(watch, changes)
             else:
                 changes = await _poll(watch, table, version, wait_s)
         except HistoryLostError:
@@ -300,6 +308,18 @@
         watch.state.news.set()
 
 
+def _end_missing_evacuations(watch: StoreWatch, changes: Changes) -> None:
+    """End evacuations whose rows were deleted while the store could not be read."""
+    held = watch.state.evacuations
+    if not held:
+        return
+    read = map(watch.formats.decode_evacuation, changes.rows)
+    present = [item.zone for item in read if item is not None and item.is_ordered]
+    for evacuation in find_missed_ends(held, present, changes.version):
+        if change_evacuation(watch.links, evacuation, "store"):
+            broadcast_revision(watch)
+
+
 async def watch_operator(watch: StoreWatch) -> None:
     """Follow the operator's rows until cancelled."""
     await watch_table(
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -24,6 +24,7 @@
     "upstream_rate_limited": "Whether this host's upstream names a rate limit.",
     "upstream_rate_limit_per_second": "The rate limit, 0 if it names none.",
     "upstream_cold": "Whether this host's upstream is cold and has a limit for that.",
+    "zones_evacuated": "Availability zones that the operator has evacuated.",
     "links_up": "Links to other nodes that can be used.",
     "body_bytes": "What the bodies of requests take in this process.",
     "requests_held": "Requests held back because upstreams end when they run them.",
--- a/agaterelay/mesh/notifications.py
+++ b/agaterelay/mesh/notifications.py
@@ -15,9 +15,11 @@
 
 from agaterelay.adapters.frames import Frame, FrameConnection
 from agaterelay.core.checked import DecodeError, check_address, check_flag, check_whole
+from agaterelay.core.evacuation import Evacuation
 from agaterelay.core.membership import Member
 from agaterelay.core.trial import MoveRecord, Order
 from agaterelay.events import EventKind
+from agaterelay.mesh.inbound import apply_upstream_state, treat_as_cold
 from agaterelay.mesh.link import NEVER_S, Links
 from agaterelay.mesh.revisions import handle_revision
 from agaterelay.mesh.state import (
@@ -25,6 +27,7 @@
     apply_member,
     apply_move,
     apply_order,
+    apply_zone_evacuation,
     in_own_zone,
     remove_member,
     revision_of,
@@ -32,10 +35,12 @@
 )
 from agaterelay.mesh.views import compare_views
 from agaterelay.mesh.wire import (
+    decode_evacuation,
     decode_member,
     decode_move,
     decode_order,
     decode_removed,
+    encode_evacuation,
     encode_member,
     encode_move,
     encode_order,
@@ -43,6 +48,10 @@
 
 # Limits the log lines on frames that can't be read, which another version may send often.
 MAX_LOGGED_REFUSALS = 64
+# The number of items of these frames that nodes of earlier builds know. They ignore the
+# item that follows, which is there only if an evacuation has been ordered.
+NEWS_LENGTH = 8
+HELLO_LENGTH = 10
 
 Decoded = TypeVar("Decoded")
 
@@ -53,13 +62,15 @@
     member_count = len(state.members.keys() | {state.own.host})
     frame = _build_news_frame(links, [state.own], [])
     view = list(view_fingerprint(state))
-    connection.send([Frame.HELLO, *frame[1:], view, member_count])
+    known, later = frame[1:NEWS_LENGTH], frame[NEWS_LENGTH:]
+    connection.send([Frame.HELLO, *known, view, member_count, *later])
 
 
 def _build_news_frame(
     links: Links, members: Iterable[Member], removed: Iterable[tuple[str, int, int]]
 ) -> list[Any]:
     state = links.state
+    evacuations = [encode_evacuation(item) for item in state.evacuations.values()]
     return [
         Frame.NEWS,
         state.own.host,
@@ -69,6 +80,7 @@
         [encode_order(order) for order in state.orders.values()],
         [list(item) for item in removed],
         state.watching,
+        *([evacuations] if evacuations else []),
     ]
 
 
@@ -139,12 +151,27 @@
             connection.send(frame)
 
 
-def handle_news(links: Links, connection: FrameConnection, frame: list[Any]) -> bool:
-    """Apply another node's changes; return whether the members have changed."""
-    _, host, revision, members, moves, orders, removed, watching = frame[:8]
+def handle_news(
+    links: Links,
+    connection: FrameConnection,
+    frame: list[Any],
+    known_length: int = NEWS_LENGTH,
+) -> bool:
+    """Apply another node's changes; return whether the members have changed.
+
+    Args:
+        links: The links of this node.
+        connection: The connection over which the frame came.
+        frame: The frame.
+        known_length: The number of items of the frame before the evacuations.
+    """
+    _, host, revision, members, moves, orders, removed, watching = frame[:NEWS_LENGTH]
     host, revision = check_address(host), check_whole(revision)
     connection.host = host
     record_watching(links, host, check_flag(watching))
+    evacuations = frame[known_length] if len(frame) > known_length else []
+    for evacuation in _decode_each(links, host, evacuations, decode_evacuation):
+        change_evacuation(links, evacuation, f"link {host}")
     changed = merge_members(links, members)
     for removed_host, pair in _decode_each(links, host, removed, decode_removed):
         if removed_host == links.state.own.host:
@@ -176,7 +203,7 @@
 
 def handle_hello(links: Links, connection: FrameConnection, frame: list[Any]) -> bool:
     """Handle the first frame of a node; return whether the members have changed."""
-    changed = handle_news(links, connection, frame)
+    changed = handle_news(links, connection, frame, HELLO_LENGTH)
     compare_views(links, connection, frame[8], frame[9])
     return changed
 
@@ -202,6 +229,28 @@
         broadcast_own_member(links)
 
 
+def change_evacuation(links: Links, evacuation: Evacuation, source: str) -> bool:
+    """Apply the state of a zone; return whether its evacuation began or ended.
+
+    At the beginning, calls that wait for an upstream of this host are refused. At the end
+    the upstream is cold.
+    """
+    if not apply_zone_evacuation(links.state, evacuation):
+        return False
+    links.context.record(
+        EventKind.EVACUATION_CHANGED,
+        zone=evacuation.zone,
+        ordered=evacuation.is_ordered,
+        order=evacuation.number,
+        source=source,
+    )
+    if evacuation.zone == links.state.own.zone:
+        apply_upstream_state(links.inbound)
+        if not evacuation.is_ordered:
+            treat_as_cold(links.inbound, "evacuation")
+    return True
+
+
 def log_move(context: NodeContext, record: MoveRecord, source: str) -> None:
     """Log the state of a move that this node has applied."""
     context.record(
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -8,6 +8,7 @@
 
 from agaterelay.adapters.log import Recorder
 from agaterelay.core.deployment import Deployment
+from agaterelay.core.evacuation import Evacuation, apply_evacuation, is_evacuated
 from agaterelay.core.fingerprint import fingerprint
 from agaterelay.core.membership import Member
 from agaterelay.core.model import ColdLimit, MoveState, RouteTable
@@ -43,6 +44,8 @@
     ``leaving_starts`` are the starts of instances that have said in an answer to this
     node that they leave, which keeps it from using one whose own node has forgotten that.
     ``tombstones`` holds the last incarnation and sequence of each removed host.
+    ``evacuations`` are the states of zones that the operator has evacuated, also of those
+    whose evacuation has ended.
     ``versions`` caches which version serves a service, and ``targets`` which hosts serve
     a version; both are cleared whenever members, orders or moves change, as is ``view``,
     the fingerprint of all member records together with the own one that it was made of.
@@ -52,6 +55,7 @@
     members: dict[str, Member] = attrs.field(factory=dict)  # written by the feeds
     table: RouteTable | None = None  # written by the feeds
     orders: dict[str, Order] = attrs.field(factory=dict)  # written by the feeds
+    evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
     moves: dict[tuple[str, str], MoveRecord] = attrs.field(factory=dict)
     trial_began_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
     braked: set[tuple[str, int]] = attrs.field(factory=set)
@@ -110,14 +114,17 @@
 
 
 def targets_of(state: MeshState, service: str, version: str) -> list[Member]:
-    """Return the hosts whose upstream accepts calls for a version of a service."""
+    """Return the hosts whose upstream accepts calls for a version of a service.
+
+    Those of evacuated zones are left out.
+    """
     key = (service, version)
     found = state.targets.get(key)
     if found is None:
         found = state.targets[key] = [
             member
             for member in all_members(state)
-            if member.usable
+            if member.usable and not is_evacuated(state.evacuations, member.zone)
             for upstream in member.upstreams
             if upstream.service == service
             and upstream.version == version
@@ -165,6 +172,14 @@
     return True
 
 
+def apply_zone_evacuation(state: MeshState, evacuation: Evacuation) -> bool:
+    """Apply the state of a zone; return whether its evacuation began or ended."""
+    if not apply_evacuation(state.evacuations, evacuation):
+        return False
+    state.targets.clear()
+    return True
+
+
 def apply_move(
     state: MeshState, record: MoveRecord, now_s: float, stored: bool = False
 ) -> bool:
--- a/agaterelay/mesh/store_watch.py
+++ b/agaterelay/mesh/store_watch.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from agaterelay.core.evacuation import Evacuation
 from agaterelay.core.feed_pacing import AnswerTime, record_answer
 from agaterelay.core.model import Finding, RouteTable
 from agaterelay.core.trial import Order
@@ -32,6 +33,7 @@
     config_key: str
     decode_config: Callable[[bytes], tuple[RouteTable | None, tuple[Finding, ...]]]
     decode_order: Callable[[StoredRow], Order | None]
+    decode_evacuation: Callable[[StoredRow], Evacuation | None]
 
 
 @attrs.define
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -18,6 +18,7 @@
     check_whole,
     raises_decode_error,
 )
+from agaterelay.core.evacuation import Evacuation
 from agaterelay.core.evidence import Tally
 from agaterelay.core.membership import Member, MemberState, UpstreamInfo
 from agaterelay.core.model import MoveState
@@ -242,6 +243,22 @@
     )
 
 
+def encode_evacuation(evacuation: Evacuation) -> list[Any]:
+    """Encode the state of a zone's evacuation."""
+    return [evacuation.zone, evacuation.number, evacuation.is_ordered]
+
+
+@raises_decode_error
+def decode_evacuation(encoded: list[Any]) -> Evacuation:
+    """Decode the state of a zone's evacuation.
+
+    Raises:
+        DecodeError: The message is not the state of an evacuation.
+    """
+    zone, number, is_ordered = encoded
+    return Evacuation(check_name(zone), check_whole(number), check_flag(is_ordered))
+
+
 def encode_tallies(tallies: RouteTallies) -> dict[str, list[Any]]:
     """Encode tallies by route."""
     return {
--- a/agaterelay/platform/orders.py
+++ b/agaterelay/platform/orders.py
@@ -1,10 +1,11 @@
-"""Decoding of the operator's orders of moves, and encoding of their status."""
+"""Decoding of the operator's orders, and encoding of the status of moves."""
 
 from __future__ import annotations
 
 import json
 
 from agaterelay.core.checked import MALFORMED, check_name, load_json
+from agaterelay.core.evacuation import Evacuation
 from agaterelay.core.model import MoveState
 from agaterelay.core.trial import Order
 from agaterelay.platform.units import parse_seconds
@@ -13,6 +14,7 @@
 OPERATOR_TABLE = "op"
 STATUS_TABLE = "status"
 ORDER_PREFIX = "rollout/"
+EVACUATION_PREFIX = "evacuate/"
 _STATES = {MoveState.DONE: "completed", MoveState.REVERTED: "rolled_back"}
 
 
@@ -32,6 +34,20 @@
         return None
 
 
+def decode_evacuation(row: StoredRow) -> Evacuation | None:
+    """Return the evacuation that a row orders or ends, or None for another row.
+
+    The row's value may be anything.
+    """
+    if not row.key.startswith(EVACUATION_PREFIX):
+        return None
+    try:
+        zone = check_name(row.key.removeprefix(EVACUATION_PREFIX))
+    except MALFORMED:
+        return None
+    return Evacuation(zone, row.version, not row.deleted)
+
+
 def status_key(service: str) -> str:
     """Return the key of the row that shows a move's status to the operator."""
     return ORDER_PREFIX + service
