--- a/agaterelay/mesh/notifications.py
+++ b/agaterelay/mesh/notifications.py
@@ -171,7 +171,8 @@
     record_watching(links, host, check_flag(watching))
     evacuations = frame[known_length] if len(frame) > known_length else []
     for evacuation in _decode_each(links, host, evacuations, decode_evacuation):
-        change_evacuation(links, evacuation, f"link {host}")
+        if change_evacuation(links, evacuation, f"link {host}"):
+            _pass_evacuations_on(links)
     changed = merge_members(links, members)
     for removed_host, pair in _decode_each(links, host, removed, decode_removed):
         if removed_host == links.state.own.host:
@@ -251,6 +252,13 @@
     return True
 
 
+def _pass_evacuations_on(links: Links) -> None:
+    """Notify the own zone if it relies on this node, which may be cut from the store."""
+    state = links.state
+    if state.has_standbys and state.own.host in (*state.readers, *state.former_readers):
+        broadcast_to_zone(links, [], [])
+
+
 def log_move(context: NodeContext, record: MoveRecord, source: str) -> None:
     """Log the state of a move that this node has applied."""
     context.record(
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -1,11 +1,16 @@
 """The operator's order that a zone's upstreams get no calls."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from agaterelay.core.evacuation import is_evacuated
+from agaterelay.mesh import notifications
+from agaterelay.ports import StoredRow
 from standins.instance import announce
 from standins.store import compact_history, put_row
+from tests.mesh import simulation
 from tests.mesh.fleet import (
     admin_address,
     is_converged,
@@ -112,3 +117,59 @@
                     await send_request(fleet, evacuated)
 
     asyncio.run(scenario())
+
+
+# Guards against hosts that don't hear of an evacuation, or of its end: those that rely on
+# readers, and a whole zone that the store refuses.
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_an_evacuation_reaches_hosts_that_do_not_watch_the_store(is_cut):
+    async def scenario():
+        fleet = simulation.Simulation()
+        await simulation.put_config(fleet)
+        for number in range(12):
+            for zone in "ab":
+                await simulation.start_host(fleet, zone, number + 1)
+        await asyncio.sleep(12.0)
+        states = [host.node.state for host in fleet.hosts]
+        assert sum(state.watching for state in states) <= 6
+        for host in fleet.hosts:
+            host.store.silent = is_cut and host.deployment.zone == "b"
+        await asyncio.sleep(6.0)
+        for deleted in (False, True):
+            row = StoredRow("op", KEY, b"", deleted=deleted)
+            fleet.rows.apply(row)
+            await asyncio.sleep(SPREAD_S)
+            assert {is_evacuated(s.evacuations, "b") for s in states} == {not deleted}
+            inbounds = [host.node.inbound for host in fleet.hosts]
+            evacuated = [item for item in inbounds if item.is_evacuated()]
+            assert len(evacuated) == (0 if deleted else 12)
+
+    simulation.run_simulated(scenario)
+
+
+# Guards against frames that nodes of earlier builds can't read, and against longer ones
+# where no evacuation has been ordered.
+def test_frames_begin_as_nodes_of_earlier_builds_know_them():
+    async def scenario():
+        async with running_fleet(zones="ab") as fleet:
+            links = fleet.hosts[0].node.links
+            sent = []
+            connection = SimpleNamespace(send=sent.append, host="")
+
+            def frames():
+                sent.clear()
+                notifications.send_hello(links, connection)
+                news = notifications._build_news_frame(links, [], [])
+                return sent[0], news
+
+            hello, news = frames()
+            assert (len(hello), len(news)) == (10, 8)
+            await put_row(fleet.store, "op", KEY, b"1")
+            await wait_until(lambda: links.state.evacuations)
+            hello_after, news_after = frames()
+            assert (hello_after[:10], news_after[:8]) == (hello, news)
+            (evacuation,) = links.state.evacuations.values()
+            encoded = [[["b", evacuation.number, True]]]
+            assert hello_after[10:] == news_after[8:] == encoded
+
+    asyncio.run(scenario())
