--- a/tests/mesh/test_cold_upstreams.py
+++ b/tests/mesh/test_cold_upstreams.py
@@ -94,6 +94,22 @@
     asyncio.run(scenario())
 
 
+# Guards against calls that a host runs as soon as it is no longer frozen, before it
+# notices that its upstream has been silent too.
+def test_an_upstream_that_was_silent_is_cold_before_the_next_call():
+    async def scenario():
+        async with running_fleet(("desk", "panel"), cold=COLD) as fleet:
+            desk = fleet.hosts[0]
+            async with crowd(fleet, fleet.hosts):
+                await asyncio.sleep(0.2)
+                desk.node.inbound.line.last_received_s -= 60.0
+                began_s = asyncio.get_running_loop().time()
+                await asyncio.sleep(0.5)
+            assert len(times_since(desk, began_s)) <= MAX_CALLS_IN_1_S
+
+    asyncio.run(scenario())
+
+
 # Guards against a restarted node that believes a late announcement from before the
 # upstream became cold.
 def test_a_restarted_node_learns_from_the_health_check_that_its_upstream_is_cold():
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,8 +9,9 @@
 
 from agaterelay.adapters.http_pool import render_head
 from agaterelay.core.call import Call
+from agaterelay.core.evacuation import Evacuation
 from agaterelay.core.membership import Member, UpstreamInfo
-from agaterelay.core.model import MoveState
+from agaterelay.core.model import ColdLimit, MoveState
 from agaterelay.core.outcome import Answered, NotRun, Unknown
 from agaterelay.core.signals import UpstreamSignals
 from agaterelay.core.trial import MoveRecord
@@ -24,12 +25,18 @@
 from agaterelay.platform.announcements import decode_announcement, decode_born_ms
 from agaterelay.platform.config import KnownRoutes, decode_config
 from agaterelay.platform.headers import (
+    decode_cold_left_s,
     decode_upstream_outcome,
     decode_upstream_signals,
     forwarded_headers,
     upstream_headers,
 )
-from agaterelay.platform.orders import decode_order, encode_status, status_key
+from agaterelay.platform.orders import (
+    decode_evacuation,
+    decode_order,
+    encode_status,
+    status_key,
+)
 from agaterelay.platform.settings import parse_deployment
 from agaterelay.platform.units import parse_seconds
 from agaterelay.ports import StoredRow
@@ -120,6 +127,37 @@
     assert table.health_paths["desk"] == "/healthz"
 
 
+# Guards against a limit that is not kept, or one where the operator has set none.
+@pytest.mark.parametrize(
+    "cold, limit",
+    [
+        (("3s", 7.5), ColdLimit(3.0, 7.5)),
+        (("250ms", 2), ColdLimit(0.25, 2)),
+        (("3s", 0), None),
+        (("3s", None), None),
+        (("0ms", 7.5), None),
+        ((0, 7.5), None),
+        ((None, 7.5), None),
+        ((None, None), None),
+    ],
+)
+def test_a_cold_limit_is_decoded_if_both_of_its_columns_are_set(cold, limit):
+    table, findings = decode_config(config(1, [route("/a/")], cold=cold))
+    assert findings == ()
+    assert table.cold_limits.get("desk") == limit
+
+
+# Guards against a document that is in force in part.
+@pytest.mark.parametrize(
+    "cold", [("soon", 7.5), (3, 7.5), ("3s", -1), ("3s", "7.5"), ("3s", True)]
+)
+def test_a_cold_limit_that_cannot_be_read_is_a_finding(cold):
+    table, findings = decode_config(config(1, [route("/a/")], cold=cold))
+    assert table is None
+    assert str(findings[0]).endswith(findings[0].message)
+    assert findings[0].section == "services, row 1"
+
+
 @pytest.mark.parametrize("value", [b"", b"{}", b"[1]", b'{"version":"x"}', b"\xff"])
 def test_what_is_no_configuration_is_a_finding(value):
     table, findings = decode_config(value)
@@ -296,6 +334,42 @@
     assert words == ["running", "completed", "rolled_back"]
 
 
+# Guards against an evacuation that depends on the value of its row, and against a row
+# whose key holds no name of a zone.
+@pytest.mark.parametrize(
+    "key, deleted, expected",
+    [
+        ("evacuate/b", False, Evacuation("b", 7, True)),
+        ("evacuate/b", True, Evacuation("b", 7, False)),
+        ("evacuate/", False, None),
+        ("evacuate/b\n", False, None),
+        ("evacuate/" + "b" * 200, False, None),
+        ("rollout/b", False, None),
+    ],
+)
+def test_an_evacuation_is_decoded_from_its_key(key, deleted, expected):
+    row = StoredRow("op", key, b"\xff", 7, deleted=deleted)
+    assert decode_evacuation(row) == expected
+
+
+# Guards against a cold upstream that is taken for a warm one since its header is odd.
+@pytest.mark.parametrize(
+    "values, left_s",
+    [
+        ([], None),
+        ([b"1500"], 1.5),
+        ([b" 0 "], 0.0),
+        ([b"-1"], None),
+        ([b"1e3"], None),
+        ([b"nan"], None),
+        ([b"9" * 400], None),
+        ([b"1", b"2"], None),
+    ],
+)
+def test_the_time_that_an_upstream_stays_cold_is_one_decimal_number(values, left_s):
+    assert decode_cold_left_s(tuple((b"X-Cold-Ms", text) for text in values)) == left_s
+
+
 def test_times():
     assert parse_seconds("1500ms") == 1.5
     assert parse_seconds("2.5s") == 2.5
