Notice the end of an upstream between two calls

An upstream that ended while idle and came back before its first announcement got 453 calls in a second where 19.25 are allowed, as no call had found it gone. Where the service has a cold limit, the inbound proxy opens a connection when the upstream closes an idle one; a refusal means that it has ended.

tests/mesh/test_cold_upstreams.py: the new test failed before, all 6 pass.

--- a/agaterelay/adapters/http_pool.py
+++ b/agaterelay/adapters/http_pool.py
@@ -340,10 +340,13 @@
         self._user_timeout_ms = user_timeout_ms
         self._idle: list[PooledConnection] = []
         self.opened = 0
+        # Called when the server has closed an idle connection.
+        self.on_idle_lost: Callable[[], None] = lambda: None
 
     def _remove_idle(self, connection: PooledConnection) -> None:
         if connection in self._idle:
             self._idle.remove(connection)
+            self.on_idle_lost()
 
     async def acquire(self, now_s: float) -> PooledConnection:
         """Return an idle connection, or open one.
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -67,6 +67,7 @@
     StoreWatch,
     record_receiving,
 )
+from agaterelay.mesh.upstream_probe import check_for_end
 from agaterelay.platform import announcements, config, headers, orders, settings
 from agaterelay.platform.store import StoreClient
 from agaterelay.ports import Clock, Store
@@ -117,6 +118,7 @@
     assume_cold(inbound.queue.cold, clock.monotonic_s())
     inbound.is_evacuated = partial(is_evacuated, state.evacuations, deployment.zone)
     inbound.cold_limit = partial(cold_limit_of, state, deployment.service)
+    pool.on_idle_lost = partial(check_for_end, inbound)
     crashes.on_unreachable = partial(treat_as_cold, inbound, "no connection")
     watch: StoreWatch | None = None
 
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -161,6 +161,7 @@
         cold_limit: Returns what the service's cold upstreams accept, None for no limit.
         is_evacuated: Returns whether this host's zone is evacuated.
         grant_timer: Fires when the first waiting call may be sent under the limits, None if no call waits for that.
+        end_check: The check in progress of whether the upstream has ended.
         call_count: The number of calls that the upstream has run; selects the calls
             that are logged.
     """
@@ -181,6 +182,7 @@
     cold_limit: Callable[[], ColdLimit | None] = lambda: None
     is_evacuated: Callable[[], bool] = lambda: False
     grant_timer: asyncio.TimerHandle | None = None
+    end_check: asyncio.Task[None] | None = None
     call_count: int = 0
     stopping: bool = False
     rng: random.Random = attrs.field(factory=random.Random)
--- a/agaterelay/mesh/upstream_probe.py
+++ b/agaterelay/mesh/upstream_probe.py
@@ -12,10 +12,13 @@
     apply_health_cold,
     apply_signals,
     current_start,
+    treat_as_cold,
 )
 
 # An announcement is confirmed within one second, and the probe is part of that time.
 PROBE_TIMEOUT_S = 0.5
+# An upstream that ends closes its connections some time before its listening socket.
+CLOSING_S = 0.02
 
 
 async def probe_upstream(inbound: Inbound, path: str, instance: str) -> bool:
@@ -64,3 +67,31 @@
     if signals != NO_SIGNALS:
         apply_signals(inbound, signals, started_s, current_start(inbound), "")
     return answer.status == 200 and not signals.leaving
+
+
+def check_for_end(inbound: Inbound) -> None:
+    """Check whether the upstream has ended, after it has closed an idle connection.
+
+    Without a call that finds it gone, nothing else tells of its end before it announces
+    its next start. This is of no use where the service has no cold limit.
+    """
+    if inbound.end_check is None and inbound.cold_limit() is not None:
+        inbound.end_check = asyncio.get_running_loop().create_task(_connect(inbound))
+
+
+async def _connect(inbound: Inbound) -> None:
+    """Open a connection to the upstream; if it is refused, treat the upstream as cold."""
+    clock = inbound.context.clock
+    try:
+        await clock.sleep(CLOSING_S)
+        connection = await inbound.pool.acquire(clock.monotonic_s())
+    except NotSentError:
+        treat_as_cold(inbound, "no connection")
+    else:
+        if connection.was_used:
+            inbound.pool.release(connection, clock.monotonic_s())
+        else:
+            # Kept in the pool, it would be checked again whenever it is idle too long.
+            connection.close()
+    finally:
+        inbound.end_check = None
--- a/tests/mesh/test_cold_upstreams.py
+++ b/tests/mesh/test_cold_upstreams.py
@@ -94,6 +94,25 @@
     asyncio.run(scenario())
 
 
+# Guards against an upstream that ends and comes back while no call is sent to it, so that
+# no call finds it gone.
+def test_an_upstream_that_ended_between_calls_is_cold_when_it_comes_back():
+    async def scenario():
+        async with running_fleet(("desk", "panel"), cold=COLD) as fleet:
+            desk = fleet.hosts[0]
+            await send_request(fleet, desk)
+            crash_instance(desk.instance)
+            await asyncio.sleep(0.1)
+            await start_instance(desk.instance)
+            began_s = asyncio.get_running_loop().time()
+            async with crowd(fleet, fleet.hosts):
+                await asyncio.sleep(0.5)
+            times = times_since(desk, began_s)
+            assert 0 < most_in_a_second(times) <= MAX_CALLS_IN_1_S
+
+    asyncio.run(scenario())
+
+
 # Guards against calls that a host runs as soon as it is no longer frozen, before it
 # notices that its upstream has been silent too.
 def test_an_upstream_that_was_silent_is_cold_before_the_next_call():
