--- a/agaterelay/platform/config.py
+++ b/agaterelay/platform/config.py
@@ -22,6 +22,7 @@
 )
 from agaterelay.core.model import (
     CallerLimits,
+    ColdLimit,
     Finding,
     Place,
     Route,
@@ -103,11 +104,15 @@
             routes.append(route)
             decoded[key] = route
     health_paths: dict[str, str] = {}
+    cold_limits: dict[str, ColdLimit] = {}
     for number, row in enumerate(service_rows, 1):
         try:
             health_paths[check_name(row["name"])] = check_path(
                 row.get("healthPath") or "/"
             )
+            cold_limit = _decode_cold_limit(row)
+            if cold_limit is not None:
+                cold_limits[row["name"]] = cold_limit
         except MALFORMED as error:
             add_finding(f"services, row {number}", error)
     workspaces: list[Workspace] = []
@@ -148,6 +153,7 @@
         health_paths,
         limits,
         workspaces=None if tenants is None else workspace_rows,
+        cold_limits=cold_limits,
         source=value,
     )
     return table, ()
@@ -216,6 +222,15 @@
     return parse_seconds(fields[name]) if name in fields else default_s
 
 
+def _decode_cold_limit(fields: Mapping[str, Any]) -> ColdLimit | None:
+    """Return a service's cold limit, None if one of its fields is absent or 0."""
+    duration_s = parse_seconds(fields["coldStart"]) if fields.get("coldStart") else 0.0
+    rate_per_s = check_number(fields.get("coldPerS", 0))
+    if rate_per_s < 0:
+        raise ValueError("coldPerS must not be negative")
+    return ColdLimit(duration_s, rate_per_s) if duration_s and rate_per_s else None
+
+
 def _decode_route(fields: Mapping[str, Any], place: Place) -> Route:
     parts = tuple(
         (check_name(part["service"]), check_whole(part["weight"], -MAX_WHOLE))
