Ask the caller's node before a call that must not run twice starts

The inbound proxy now asks the caller's node (MAY_START, START) once such a call has a slot and a connection. A call that was given up before that is refused with a Retry-After, is never permitted later, and is placed on another upstream at once if its link falls silent. Calls on the own host and of idempotent routes need no message; nodes of earlier builds are treated as before.

--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -52,6 +52,8 @@
     GRANT = 17
     ASK_LOAN = 18
     LOAN = 19
+    MAY_START = 20
+    START = 21
 
 
 def configure_socket(tcp_socket: socket.socket, user_timeout_ms: int) -> None:
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -11,7 +11,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import attrs
@@ -207,11 +207,19 @@
     inbound.queue.rate_limit = RateLimit()
 
 
-async def run_call(inbound: Inbound, call: Call) -> CallResult:
+async def run_call(
+    inbound: Inbound, call: Call, may_start: Callable[[], Awaitable[bool]] | None = None
+) -> CallResult:
     """Admit a call and run it on the upstream, or refuse it.
 
     On cancellation, a queued call is removed from the queue; for a running call the
     connection is closed, so that the upstream stops working on it.
+
+    Args:
+        inbound: The inbound proxy.
+        call: The call.
+        may_start: Awaited when the call has a slot and a connection; returns whether it
+            may be sent. None if no permission is needed.
     """
     reason = find_refusal_reason(inbound)
     announcement = inbound.line.current
@@ -231,7 +239,7 @@
             return CallResult(refusal, False, report_load(inbound))
         release = release_slot
         try:
-            run = await _run_in_slot(inbound, call, arrived_s)
+            run = await _run_in_slot(inbound, call, arrived_s, may_start)
             if not run.was_sent:
                 release = release_unused_slot
         finally:
@@ -340,7 +348,12 @@
     return compute_retry_after_s(queue, queue.slots, now_s, inbound.rng)
 
 
-async def _run_in_slot(inbound: Inbound, call: Call, arrived_s: float) -> Run:
+async def _run_in_slot(
+    inbound: Inbound,
+    call: Call,
+    arrived_s: float,
+    may_start: Callable[[], Awaitable[bool]] | None,
+) -> Run:
     """Run a call that has a slot."""
     clock = inbound.context.clock
     # The upstream may have started to drain while the call was queued.
@@ -353,8 +366,15 @@
     except NotSentError as error:
         record_call_end(inbound.queue, True, clock.monotonic_s())
         return Run(NotRun(f"the upstream accepts no connection: {error}", 0.1))
+    try:
+        permitted = may_start is None or await may_start()
+    except asyncio.CancelledError:
+        inbound.pool.release(connection, clock.monotonic_s())
+        raise
     key = request_key(call.service, call.method, call.path, call.body)
     reason = find_refusal_reason(inbound)
+    if not permitted:
+        reason = "the node of its caller did not permit the start"
     if is_held(inbound.crashes.suspects, key, clock.monotonic_s()):
         reason = describe_hold(key)
     remaining_s = call.deadline_s - clock.monotonic_s()
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -9,6 +9,7 @@
 import attrs
 
 from agaterelay.adapters.frames import FrameConnection
+from agaterelay.core.call_start import CallStart
 from agaterelay.core.catch_up import CatchUp
 from agaterelay.core.placing import TargetLoad
 from agaterelay.mesh.inbound import Inbound
@@ -31,21 +32,26 @@
         retryable: The pending calls that fail once the other node stops answering, since
             they can be sent to another upstream. Any other call waits for its answer, as
             the upstream may still be running it.
+        starts: The pending calls that the other node asks for before it starts them.
         pinged_s: When the unanswered ping was sent, None if there is none.
         usable: Whether calls may be placed on the link.
         watching_s: When the other node last reported that it watches the store.
         lost_s: When the connection was last lost.
+        asks_for_start: Whether the other node asks before it starts a call that must not
+            run twice.
     """
 
     host: str
     connection: FrameConnection | None = None
     pending: dict[int, asyncio.Future[Any]] = attrs.field(factory=dict)
     retryable: set[int] = attrs.field(factory=set)
+    starts: dict[int, CallStart] = attrs.field(factory=dict)
     last_received_s: float = 0.0
     pinged_s: float | None = None
     usable: bool = False
     watching_s: float = NEVER_S
     lost_s: float = 0.0
+    asks_for_start: bool = False
     load: TargetLoad = attrs.field(factory=TargetLoad)
     dialer: asyncio.Task[None] | None = None
 
@@ -74,6 +80,8 @@
         outdated: Whether members have changed since the links were chosen.
         chosen_s: When the links were last chosen.
         running: The tasks of other nodes' calls, by connection and number.
+        start_answers: The futures of running calls that wait for the permission to
+            start, by connection and number.
         accepted: The connections that other nodes have dialled.
         refused: The host and kind of messages that could not be read.
         own_load: The load of this host's own upstream.
@@ -93,6 +101,9 @@
     running: dict[tuple[FrameConnection, int], asyncio.Task[None]] = attrs.field(
         factory=dict
     )
+    start_answers: dict[tuple[FrameConnection, int], asyncio.Future[None]] = (
+        attrs.field(factory=dict)
+    )
     next_number: int = 0
     accepted: set[FrameConnection] = attrs.field(factory=set)
     refused: set[tuple[str, str]] = attrs.field(factory=set)
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -12,12 +12,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
 from agaterelay.adapters.frames import Frame, FrameConnection
 from agaterelay.core.call import Call
+from agaterelay.core.call_start import CallStart, give_up_call, permit_start
 from agaterelay.core.checked import (
     DecodeError,
     check_flag,
@@ -72,6 +73,11 @@
 PONG_TIMEOUT_S = 0.6
 LINK_CHECK_PERIOD_S = 0.1
 TALLIES_TIMEOUT_S = 0.5
+# How long a call with a slot waits for the permission to start: several round trips on a
+# busy host.
+START_TIMEOUT_S = 0.25
+# Other upstreams take the calls of a lost link, or the link is dialled again.
+LINK_LOST_RETRY_S = 0.3
 # Another node may be able to read what this one cannot.
 UNREADABLE_RETRY_S = 0.1
 NO_ROOM_RETRY_S = 0.3
@@ -211,6 +217,8 @@
     link.lost_s = links.context.clock.monotonic_s()
     link.load = TargetLoad()
     pending, link.pending = link.pending, {}
+    link.starts.clear()
+    link.asks_for_start = False
     if was_up:
         links.context.record(
             EventKind.LINK_LOST, peer=link.host, reason=reason, waiting=len(pending)
@@ -242,7 +250,10 @@
     kind = frame[0]
     if kind == Frame.CALL:
         number = frame[1]
-        task = asyncio.create_task(_serve_call(links, connection, number, frame[2]))
+        asks = len(frame) > 4 and check_flag(frame[4])
+        task = asyncio.create_task(
+            _serve_call(links, connection, number, frame[2], asks)
+        )
         links.running[connection, number] = task
         # A task that is cancelled before its first step runs none of its own code, so
         # it cannot remove itself.
@@ -254,6 +265,10 @@
         task = links.running.get((connection, frame[1]))
         if task is not None:
             task.cancel()
+    elif kind == Frame.START:
+        answer = links.start_answers.get((connection, check_whole(frame[1])))
+        if answer is not None and not answer.done():
+            answer.set_result(None)
     elif kind == Frame.PING:
         connection.send([Frame.PONG, revision_of(links.state), links.state.watching])
         handle_revision(links, connection, check_whole(frame[1]))
@@ -301,8 +316,21 @@
 
 
 async def _serve_call(
-    links: Links, connection: FrameConnection, number: int, encoded: list[Any]
+    links: Links,
+    connection: FrameConnection,
+    number: int,
+    encoded: list[Any],
+    asks_for_start: bool,
 ) -> None:
+    """Run another node's call, and send the result.
+
+    Args:
+        links: The links.
+        connection: The connection to the other node.
+        number: The number of the call on this connection.
+        encoded: The call.
+        asks_for_start: Whether the other node has to permit the start of the call.
+    """
     try:
         call = decode_call(encoded, links.context.clock.monotonic_s())
     except DecodeError as error:
@@ -310,13 +338,36 @@
         outcome = NotRun("the call cannot be read", UNREADABLE_RETRY_S)
         result = CallResult(outcome, False, report_load(links.inbound))
     else:
-        result = await _run_received_call(links, call)
+        may_start = None
+        if asks_for_start:
+            may_start = partial(_ask_for_start, links, connection, number)
+        result = await _run_received_call(links, call, may_start)
     connection.send(
         [Frame.RESULT, number, encode_result(result), revision_of(links.state)]
     )
 
 
-async def _run_received_call(links: Links, call: Call) -> CallResult:
+async def _ask_for_start(
+    links: Links, connection: FrameConnection, number: int
+) -> bool:
+    """Ask the node of a call's caller whether the call may start."""
+    answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+    links.start_answers[connection, number] = answer
+    try:
+        if not connection.send([Frame.MAY_START, number]):
+            return False
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await answer
+    except TimeoutError:
+        return False
+    finally:
+        del links.start_answers[connection, number]
+    return True
+
+
+async def _run_received_call(
+    links: Links, call: Call, may_start: Callable[[], Awaitable[bool]] | None
+) -> CallResult:
     """Run another node's call, if there is room for its body."""
     account = links.inbound.account
     holder = object()
@@ -324,7 +375,7 @@
         outcome = NotRun("there is no room for the body", NO_ROOM_RETRY_S)
         return CallResult(outcome, False, report_load(links.inbound))
     try:
-        return await run_call(links.inbound, call)
+        return await run_call(links.inbound, call, may_start)
     except Exception as error:
         record_failed_step(links.context, "run a call", error)
         # It may have run, for all that is known.
@@ -355,6 +406,10 @@
             future.set_result(result)
         record_load_report(link.load, result.report, now_s)
         handle_revision(links, link.connection, frame[3])
+    elif kind == Frame.MAY_START:
+        start = link.starts.get(check_whole(frame[1]))
+        permitted = start is not None and permit_start(start)
+        link.connection.send([Frame.START if permitted else Frame.CANCEL, frame[1]])
     elif kind == Frame.PONG:
         record_watching(links, link.host, check_flag(frame[2]))
         handle_revision(links, link.connection, check_whole(frame[1]))
@@ -364,6 +419,8 @@
         if future is not None and not future.done():
             future.set_result(tallies)
     elif kind in MEMBERSHIP_FRAMES:
+        if kind == Frame.HELLO:
+            link.asks_for_start = len(frame) > 10 and check_flag(frame[10])
         _handle_membership_frame(links, link.connection, frame)
     elif kind == Frame.CRASHES:
         handle_crashes(links.inbound.crashes, link.connection, frame)
@@ -371,11 +428,19 @@
         handle_table_frame(links, link.connection, frame)
 
 
-async def send_call(links: Links, host: str, call: Call) -> CallResult:
+async def send_call(
+    links: Links, host: str, call: Call, start: CallStart
+) -> CallResult:
     """Run a call through the inbound proxy of this host or of another one.
 
     On cancellation, the other node is sent a cancel frame.
 
+    Args:
+        links: The links.
+        host: The host of the upstream.
+        call: The call.
+        start: Permitted once the call may have started; changed in place.
+
     Raises:
         LinkDownError: There is no connection; the call was not sent.
     """
@@ -383,7 +448,11 @@
         links.own_load.own += 1
         links.own_load.sent += 1
         try:
-            result = await run_call(links.inbound, call)
+
+            async def may_start() -> bool:
+                return permit_start(start)
+
+            result = await run_call(links.inbound, call, may_start)
         finally:
             links.own_load.own -= 1
         now_s = links.context.clock.monotonic_s()
@@ -397,11 +466,15 @@
     future: asyncio.Future[CallResult] = asyncio.get_running_loop().create_future()
     now_s = links.context.clock.monotonic_s()
     revision = revision_of(links.state)
-    if not link.connection.send(
-        [Frame.CALL, number, encode_call(call, now_s), revision]
-    ):
+    asks_for_start = not call.idempotent and link.asks_for_start
+    frame = [Frame.CALL, number, encode_call(call, now_s), revision, asks_for_start]
+    if not link.connection.send(frame):
         raise LinkDownError(host)
     link.pending[number] = future
+    if asks_for_start:
+        link.starts[number] = start
+    else:
+        permit_start(start)
     if call.idempotent and not call.last_attempt:
         link.retryable.add(number)
     load = link.load
@@ -410,8 +483,11 @@
     try:
         return await future
     except ConnectionError as error:
-        outcome = Unknown(f"the link to the upstream's node was lost: {error}")
-        return CallResult(outcome, True, load.report or report_load(links.inbound))
+        report = load.report or report_load(links.inbound)
+        reason = f"the link to the upstream's node was lost: {error}"
+        if give_up_call(start):
+            return CallResult(NotRun(reason, LINK_LOST_RETRY_S), False, report)
+        return CallResult(Unknown(reason), True, report)
     except asyncio.CancelledError:
         if link.pending.pop(number, None) is not None and link.connection is not None:
             link.connection.send([Frame.CANCEL, number])
@@ -419,6 +495,7 @@
     finally:
         load.own -= 1
         link.retryable.discard(number)
+        link.starts.pop(number, None)
 
 
 async def fetch_tallies(links: Links, host: str, span_s: float) -> RouteTallies | None:
@@ -484,7 +561,10 @@
             reason="silent",
             waiting=len(link.pending),
         )
-        for number in tuple(link.retryable):
+        unstarted = {
+            number for number, start in link.starts.items() if give_up_call(start)
+        }
+        for number in link.retryable | unstarted:
             future = link.pending.pop(number, None)
             if future is not None and not future.done():
                 future.set_exception(ConnectionError("silent"))
--- a/agaterelay/mesh/notifications.py
+++ b/agaterelay/mesh/notifications.py
@@ -53,7 +53,8 @@
     member_count = len(state.members.keys() | {state.own.host})
     frame = _build_news_frame(links, [state.own], [])
     view = list(view_fingerprint(state))
-    connection.send([Frame.HELLO, *frame[1:], view, member_count])
+    # The last item says that this node asks before it starts a call.
+    connection.send([Frame.HELLO, *frame[1:], view, member_count, True])
 
 
 def _build_news_frame(
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -13,6 +13,7 @@
 import asyncio
 
 from agaterelay.core.call import Call
+from agaterelay.core.call_start import CallStart, give_up_call
 from agaterelay.core.crash_suspects import HELD_CRASH_COUNT, is_held, request_key
 from agaterelay.core.membership import Member, UpstreamInfo
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
@@ -44,7 +45,8 @@
 # Retry-after if nothing is known about the load.
 NO_UPSTREAM_RETRY_S = 0.3
 NO_TABLE_RETRY_S = 0.5
-# Retry-after of a request whose time passed behind others on its connection.
+# Retry-after of a request whose time passed behind others on its connection, or before an
+# upstream's node asked to start it.
 LATE_RETRY_S = 0.05
 STOPPING_RETRY_S = 0.2
 # Shorter waits behind other requests of the connection are left out of the log.
@@ -272,20 +274,25 @@
     load = load_of(outbound.links, member.host)
     load_at_placement = _describe_load(load, now_s)
     timeout: asyncio.Timeout | None = None
+    start = CallStart()
     try:
         async with asyncio.timeout(
             request_state.deadline_s - now_s + INBOUND_MARGIN_S
         ) as timeout:
             outbound.attempt_timeouts.add(timeout)
-            result = await send_call(outbound.links, member.host, call)
+            result = await send_call(outbound.links, member.host, call, start)
     except LinkDownError:
         return None
     except TimeoutError:
         reason = (
             "the node is stopping" if outbound.shutting_down else "no answer in time"
         )
-        outcome = Unknown(reason, timed_out=not outbound.shutting_down)
-        result = CallResult(outcome, True, load.report or _NO_REPORT)
+        report = load.report or _NO_REPORT
+        if give_up_call(start):
+            result = CallResult(NotRun(reason, LATE_RETRY_S), False, report)
+        else:
+            outcome = Unknown(reason, timed_out=not outbound.shutting_down)
+            result = CallResult(outcome, True, report)
     finally:
         if timeout is not None:
             outbound.attempt_timeouts.discard(timeout)
