Serve calls of upstreams for requests in their slots before new work

A call whose id extends that of a request which this host runs at the moment is marked, and the mark goes with it (item 16 of a call). Within its rank it goes before other work, evicts it from a full queue, and may wait until its deadline.

--- a/agaterelay/core/slot_queue.py
+++ b/agaterelay/core/slot_queue.py
@@ -3,8 +3,9 @@
 This handles overload, when more calls arrive than the upstream has slots. A call waits
 only as long as its answer can still reach the caller within the route's target: waiting
 longer would make every call of an overloaded upstream late and serve no more of them.
-The queue is ordered by rank, then calls that can meet their target before calls that are
-late already, then by the earliest target. A call whose turn would come too late is
+The queue is ordered by rank, then calls that an upstream makes for a request in its slot
+before all others, then calls that can meet their target before calls that are late already,
+then by the earliest target. A call whose turn would come too late is
 refused on arrival, so that its outbound proxy can place it elsewhere or tell the caller
 when to retry. The rate limit that the upstream names is applied when a call gets its slot.
 """
@@ -58,7 +59,8 @@
     """A call's request for a slot; times are on the monotonic clock.
 
     ``estimated_time_s`` is the service time to expect, and ``late`` whether the target
-    could not be met even without waiting.
+    could not be met even without waiting. ``nested`` calls are made by an upstream for a
+    request that holds a slot.
     """
 
     rank: int
@@ -67,13 +69,14 @@
     estimated_time_s: float = 0.0
     late: bool = False
     call_id: str = ""
+    nested: bool = False
 
     def __lt__(self, other: Ticket) -> bool:
         return self._order < other._order
 
     @property
-    def _order(self) -> tuple[int, bool, float]:
-        return (self.rank, self.late, self.target_s)
+    def _order(self) -> tuple[int, bool, bool, float]:
+        return (self.rank, not self.nested, self.late, self.target_s)
 
 
 @attrs.frozen
@@ -139,12 +142,13 @@
     target_s: float,
     deadline_s: float,
     now_s: float,
+    nested: bool = False,
 ) -> Ticket:
     """Return a ticket for a call, with the service time estimated for its route."""
     known = queue.service_times.get(route)
     estimated_time_s = known.estimated_time_s if known else queue.service_time_s
     late = now_s + estimated_time_s > target_s
-    return Ticket(rank, target_s, deadline_s, estimated_time_s, late)
+    return Ticket(rank, target_s, deadline_s, estimated_time_s, late, nested=nested)
 
 
 def max_wait_s(ticket: Ticket, now_s: float) -> float:
@@ -152,6 +156,9 @@
     remaining_s = (
         ticket.deadline_s - now_s - MIN_REMAINING_TIME_RATIO * ticket.estimated_time_s
     )
+    if ticket.nested:
+        # A refusal throws away its parent's run, so a late answer is better.
+        return max(remaining_s, 0.0)
     if ticket.late:
         return max(MAX_LATE_WAIT_RATIO * remaining_s, 0.0)
     return max(min(ticket.target_s - now_s - ticket.estimated_time_s, remaining_s), 0.0)
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -33,6 +33,7 @@
 from agaterelay.core.crash_suspects import Key, is_held, request_key
 from agaterelay.core.evidence import Tally, add_calls
 from agaterelay.core.memory_account import MemoryAccount
+from agaterelay.core.nested_calls import RunningCalls, record_end, record_start
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
 from agaterelay.core.rate_limit import RateLimit, update_rate
@@ -144,6 +145,7 @@
             state before.
         grant_timer: Fires when the first waiting call may be sent under the rate limit,
             None if no call waits for that.
+        running: The calls that the upstream runs now, and their nested calls.
         call_count: The number of calls that the upstream has run; selects the calls
             that are logged.
     """
@@ -162,6 +164,7 @@
     in_flight: int = 0
     on_leaving: Callable[[UpstreamState], None] = lambda previous_state: None
     grant_timer: asyncio.TimerHandle | None = None
+    running: RunningCalls = attrs.field(factory=RunningCalls)
     call_count: int = 0
     stopping: bool = False
     rng: random.Random = attrs.field(factory=random.Random)
@@ -270,7 +273,13 @@
     """Wait for a slot; return the refusal, or None if the call has a slot."""
     now_s = inbound.context.clock.monotonic_s()
     ticket = make_ticket(
-        inbound.queue, call.route, call.rank, call.target_s, call.deadline_s, now_s
+        inbound.queue,
+        call.route,
+        call.rank,
+        call.target_s,
+        call.deadline_s,
+        now_s,
+        call.nested,
     )
     answer = request_slot(inbound.queue, ticket, now_s, inbound.rng)
     if isinstance(answer, Refused):
@@ -480,6 +489,7 @@
     """Send a call and return its answer; on any error, close the connection."""
     headers = inbound.wire.headers(call, max(int(remaining_s * 1000), 1))
     head = render_head(call.method, call.path, headers, call.body)
+    record_start(inbound.running, call.call_id)
     try:
         async with asyncio.timeout(remaining_s + DEADLINE_MARGIN_S):
             answer = await connection.send(
@@ -488,6 +498,8 @@
     except BaseException:
         connection.close()
         raise
+    finally:
+        record_end(inbound.running, call.call_id)
     inbound.pool.release(connection, inbound.context.clock.monotonic_s())
     return answer
 
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -16,6 +16,7 @@
 from agaterelay.core.call_start import CallStart, give_up_call
 from agaterelay.core.crash_suspects import HELD_CRASH_COUNT, is_held, request_key
 from agaterelay.core.membership import Member, UpstreamInfo
+from agaterelay.core.nested_calls import begin_nested, end_nested
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport, TargetLoad, record_answer
 from agaterelay.core.retry_budget import (
@@ -104,6 +105,9 @@
         outbound, route, request.wait_ms
     )
     earn_retry_tokens(outbound.budget, service)
+    running = outbound.links.inbound.running
+    parent = begin_nested(running, request.call_id)
+    request_state.nested = parent is not None
     outbound.in_flight += 1
     try:
         outcome = await _run_attempts(outbound, request_state)
@@ -118,6 +122,8 @@
         raise
     finally:
         outbound.in_flight -= 1
+        if parent is not None:
+            end_nested(running, parent)
     _log_end(outbound, request_state, outcome)
     return outcome
 
@@ -269,6 +275,8 @@
         last_attempt=outbound.shutting_down
         or request_state.placements >= MAX_PLACEMENTS
         or request_state.arrivals + 1 >= route.max_attempts,
+        workspace=request.workspace,
+        nested=request_state.nested,
     )
     now_s = outbound.context.clock.monotonic_s()
     load = load_of(outbound.links, member.host)
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -108,6 +108,7 @@
         last_outcome: The outcome of the last attempt that reached an upstream, None if
             no attempt has.
         retry_after_s: The shortest time after which an inbound proxy expects a free slot.
+        nested: Whether this host's upstream makes it for a request that it is running.
     """
 
     request: Request
@@ -122,3 +123,4 @@
     waited_s: float = 0.0
     last_outcome: Outcome | None = None
     retry_after_s: float | None = None
+    nested: bool = False
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -45,7 +45,10 @@
 
 
 def encode_call(call: Call, now_s: float) -> list[Any]:
-    """Encode a call; its deadline and target are sent as remaining milliseconds."""
+    """Encode a call; its deadline and target are sent as remaining milliseconds.
+
+    Nodes of earlier builds read the first 15 items.
+    """
     return [
         call.call_id,
         call.method,
@@ -62,6 +65,8 @@
         max(int((call.deadline_s - now_s) * 1000), 0),
         int((call.target_s - now_s) * 1000),
         call.is_retry,
+        call.workspace,
+        call.nested,
     ]
 
 
@@ -88,6 +93,8 @@
         deadline_s=now_s + check_number(encoded[12]) / 1000,
         target_s=now_s + check_number(encoded[13]) / 1000,
         is_retry=check_flag(encoded[14]),
+        workspace=check_text(encoded[15]) if len(encoded) > 15 else "",
+        nested=len(encoded) > 16 and check_flag(encoded[16]),
     )
 
 
--- a/tests/core/test_slot_queue.py
+++ b/tests/core/test_slot_queue.py
@@ -140,3 +140,25 @@
             remove_ticket(queue, queue.waiting[-1])
         assert 0 <= queue.in_use <= 3
         assert queue.waiting == sorted(queue.waiting)
+
+
+def test_a_nested_call_goes_before_new_work_of_the_same_or_a_lower_urgency():
+    waiting = [
+        ticket(rank=2, nested=True),
+        ticket(target_s=0.1),
+        ticket(late=True, nested=True),
+        ticket(rank=0),
+    ]
+    ordered = sorted(waiting)
+    assert [waiting.index(item) for item in ordered] == [3, 2, 1, 0]
+
+
+def test_a_nested_call_evicts_new_work_and_is_not_refused_as_late():
+    queue = full_queue()
+    while isinstance(request_slot(queue, ticket(target_s=1.5), 0.0, RNG), Queued):
+        pass
+    last = queue.waiting[-1]
+    nested = make_ticket(queue, "r", 1, 0.0, 2.0, 0.0, nested=True)
+    assert nested.late
+    assert request_slot(queue, nested, 0.0, RNG) == Queued(last)
+    assert queue.waiting[0] is nested
