Keep the load known of an upstream across links and instances

A lost link, or one that was dropped and dialled again as members changed, made a slow and busy upstream look fast and idle to the node, until its next answers.

Loads are now kept by host and outlive the link. Only the ratio of failures is forgotten, with the link and with the instance, as it has no age.

--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -37,6 +37,8 @@
         usable: Whether calls may be placed on the link.
         watching_s: When the other node last reported that it watches the store.
         lost_s: When the connection was last lost.
+        start: The instance and the start in milliseconds since 1970 of the upstream that
+            the load was last known to be of, None if there was none.
         asks_for_start: Whether the other node asks before it starts a call that must not
             run twice.
     """
@@ -51,6 +53,7 @@
     usable: bool = False
     watching_s: float = NEVER_S
     lost_s: float = 0.0
+    start: tuple[str, int] | None = None
     asks_for_start: bool = False
     load: TargetLoad = attrs.field(factory=TargetLoad)
     dialer: asyncio.Task[None] | None = None
@@ -85,6 +88,7 @@
         accepted: The connections that other nodes have dialled.
         refused: The host and kind of messages that could not be read.
         own_load: The load of this host's own upstream.
+        loads: The loads of other hosts' upstreams, by host; they outlive the links.
         members_requested_s: When members were last requested because views differ.
         views_differ_since_s: Since when some view differs, None if none does.
         differing_views: The fingerprint and the number of hosts of each view that differs
@@ -108,6 +112,7 @@
     accepted: set[FrameConnection] = attrs.field(factory=set)
     refused: set[tuple[str, str]] = attrs.field(factory=set)
     own_load: TargetLoad = attrs.field(factory=TargetLoad)
+    loads: dict[str, TargetLoad] = attrs.field(factory=dict)
     server: asyncio.Server | None = None
     catch_up: CatchUp[FrameConnection] = attrs.field(factory=CatchUp)
     documents: Documents = attrs.field(factory=Documents)
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -25,6 +25,7 @@
     check_number,
     check_whole,
 )
+from agaterelay.core.kept_load import forget_failures
 from agaterelay.core.membership import Member
 from agaterelay.core.memory_account import release, reserve
 from agaterelay.core.neighbours import choose_linked_hosts
@@ -82,6 +83,8 @@
 UNREADABLE_RETRY_S = 0.1
 NO_ROOM_RETRY_S = 0.3
 MAX_KIND_LENGTH = 20
+# Covers the hosts of a large fleet, of which a node is linked to a part at a time.
+MAX_KEPT_LOADS = 960
 # The frames that carry membership and revision notifications.
 MEMBERSHIP_FRAMES = (Frame.HELLO, Frame.NEWS, Frame.WANT_MEMBERS, Frame.MEMBERS)
 
@@ -137,7 +140,8 @@
         )
     for host in wanted:
         if host not in links.links:
-            link = links.links[host] = Link(host)
+            load = links.loads.setdefault(host, TargetLoad())
+            link = links.links[host] = Link(host, load=load)
             link.dialer = asyncio.create_task(
                 supervise(
                     links.context,
@@ -145,6 +149,14 @@
                     partial(_maintain_link, links, link),
                 )
             )
+    for host, link in links.links.items():
+        member = state.members.get(host)
+        starts = member.upstreams[:1] if member is not None else ()
+        for upstream in starts:
+            start = (upstream.instance, upstream.born_ms)
+            if link.start not in (None, start):
+                forget_failures(link.load)
+            link.start = start
     for host, link in tuple(links.links.items()):
         # A link with pending calls is dropped at a later update.
         if host in wanted or (host in state.members and link.pending):
@@ -154,6 +166,12 @@
             link.dialer.cancel()
         if link.connection is not None:
             link.connection.close()
+    while len(links.loads) > MAX_KEPT_LOADS:
+        unlinked = (host for host in links.loads if host not in links.links)
+        oldest = next(unlinked, None)
+        if oldest is None:
+            break
+        del links.loads[oldest]
 
 
 async def _maintain_link(links: Links, link: Link) -> None:
@@ -215,7 +233,7 @@
     link.connection = None
     _mark_unusable(link)
     link.lost_s = links.context.clock.monotonic_s()
-    link.load = TargetLoad()
+    forget_failures(link.load)
     pending, link.pending = link.pending, {}
     link.starts.clear()
     link.asks_for_start = False
@@ -584,4 +602,4 @@
     if host == links.state.own.host:
         return links.own_load
     link = links.links.get(host)
-    return link.load if link is not None else TargetLoad()
+    return link.load if link is not None else links.loads.get(host, TargetLoad())
