Give up calls that an upstream never answers, and send fewer after hangs

A call that its upstream never answered held its slot until its deadline, when no time was left for another attempt, and calls were sent as if the upstream had room.

A call hangs if it has taken 8 times the service time learned for its route and calls sent after it have been answered, which a slow or frozen upstream doesn't do. One of an idempotent route is then given up with its connection and can be retried; others keep their time limit. Repeated hangs lower the calls sent at once, which recover by one a second (event 414, gauge slots_lowered). Slots that a running instance announces anew take effect now; only those of a new start did before.

--- a/agaterelay/core/announcement.py
+++ b/agaterelay/core/announcement.py
@@ -101,7 +101,8 @@
         if now_s - record.confirming_since_s < CONFIRMING_S:
             return False
     record.unconfirmed = False
-    return _change_state(record, UpstreamState.READY) or not same
+    reannounced = current is not None and current.slots != announcement.slots
+    return _change_state(record, UpstreamState.READY) or not same or reannounced
 
 
 def apply_confirmation(record: UpstreamRecord) -> bool:
--- a/agaterelay/core/slot_queue.py
+++ b/agaterelay/core/slot_queue.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from agaterelay.core.hang_limit import HangLimit, hang_time_s, lowered_by
 from agaterelay.core.placing import LoadReport
 from agaterelay.core.rate_limit import (
     MIN_RATE_PER_S,
@@ -81,10 +82,11 @@
 
 @attrs.frozen
 class ServiceTime:
-    """The smoothed service time of a route's calls."""
+    """The smoothed service time of a route's calls; ``samples`` counts them."""
 
     mean_s: float = INITIAL_SERVICE_TIME_S
     deviation_s: float = 0.0
+    samples: int = 1
 
     @property
     def estimated_time_s(self) -> float:
@@ -126,13 +128,15 @@
     shed_at_s: float = float("-inf")
     shed_limit: int = 0
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
+    hangs: HangLimit = attrs.field(factory=HangLimit)
 
 
 def concurrency_limit(queue: SlotQueue, now_s: float) -> int:
     """Return how many calls may run concurrently at this time."""
+    limit = queue.slots - lowered_by(queue.hangs, now_s)
     if now_s - queue.shed_at_s < SHED_PAUSE_S:
-        return max(min(queue.shed_limit, queue.slots), 1)
-    return max(queue.slots, 1)
+        limit = min(queue.shed_limit, limit)
+    return max(limit, 1)
 
 
 def make_ticket(
@@ -298,9 +302,16 @@
         known.mean_s + SERVICE_TIME_SMOOTHING_RATIO * error_s,
         known.deviation_s
         + SERVICE_TIME_SMOOTHING_RATIO * (abs(error_s) - known.deviation_s),
+        known.samples + 1,
     )
 
 
+def hang_time_of(queue: SlotQueue, route: str) -> float:
+    """Return after how long a call of a route may be considered hung, in seconds."""
+    known = queue.service_times.get(route, ServiceTime(samples=0))
+    return hang_time_s(known.estimated_time_s, known.samples)
+
+
 def record_call_end(queue: SlotQueue, failed: bool, now_s: float) -> None:
     """Update the failure ratio after a call on the upstream."""
     current = failure_ratio(queue, now_s)
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -32,6 +32,7 @@
 )
 from agaterelay.core.checked import DecodeError, check_name
 from agaterelay.core.deployment import Deployment
+from agaterelay.core.hang_limit import lowered_by
 from agaterelay.core.memory_account import MemoryAccount, plan_limit_bytes, release
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
@@ -210,6 +211,9 @@
     gauges["revision"] = revision_of(node.state)
     gauges["slots_in_use"] = node.inbound.queue.in_use
     gauges["calls_waiting"] = len(node.inbound.queue.waiting)
+    gauges["slots_lowered"] = lowered_by(
+        node.inbound.queue.hangs, node.context.clock.monotonic_s()
+    )
     gauges["upstream_rate_limited"] = rate_limit.rate_per_s is not None
     gauges["upstream_rate_limit_per_second"] = rate_limit.rate_per_s or 0.0
     gauges["links_up"] = sum(link.usable for link in node.links.links.values())
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -61,6 +61,7 @@
     CALL_ABANDONED = (410, "An inbound proxy ended a call whose caller disconnected.")
     REQUEST_HELD = (411, "A request is held back: upstreams end when they run it.")
     REQUEST_RELEASED = (412, "An operator ended the holding back of a request.")
+    CALLS_HANG = (414, "Calls hang at an upstream; fewer are sent at once for a time.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node stopped sending calls to the new version.")
     MOVE_FINISHED = (502, "A move was completed or reverted.")
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -32,6 +32,15 @@
 from agaterelay.core.call import Call, RawHeaders
 from agaterelay.core.crash_suspects import Key, is_held, request_key
 from agaterelay.core.evidence import Tally, add_calls
+from agaterelay.core.hang_limit import (
+    HangLimit,
+    SentCalls,
+    is_hung,
+    lowered_by,
+    record_answered,
+    record_hang,
+    record_sent,
+)
 from agaterelay.core.memory_account import MemoryAccount
 from agaterelay.core.nested_calls import RunningCalls, record_end, record_start
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
@@ -46,6 +55,7 @@
     Ticket,
     compute_retry_after_s,
     grant_free_slots,
+    hang_time_of,
     make_load_report,
     make_ticket,
     max_wait_s,
@@ -71,6 +81,8 @@
 # Retry-after of calls that are refused for another reason than load: another upstream
 # has a free slot, or will have one soon.
 DRAINING_RETRY_S = 0.1
+# How often a call is considered again that has taken too long.
+HANG_CHECK_PERIOD_S = 0.1
 # One of this many calls is logged, besides all that failed.
 CALLS_PER_LOG_LINE = 50
 
@@ -146,6 +158,7 @@
         grant_timer: Fires when the first waiting call may be sent under the rate limit,
             None if no call waits for that.
         running: The calls that the upstream runs now, and their nested calls.
+        sent: The same calls in the order in which they were sent.
         call_count: The number of calls that the upstream has run; selects the calls
             that are logged.
     """
@@ -165,6 +178,7 @@
     on_leaving: Callable[[UpstreamState], None] = lambda previous_state: None
     grant_timer: asyncio.TimerHandle | None = None
     running: RunningCalls = attrs.field(factory=RunningCalls)
+    sent: SentCalls = attrs.field(factory=SentCalls)
     call_count: int = 0
     stopping: bool = False
     rng: random.Random = attrs.field(factory=random.Random)
@@ -204,8 +218,9 @@
 
 
 def reset_instance_state(inbound: Inbound) -> None:
-    """Drop the connections to the previous instance, its failure ratio and its limit."""
+    """Drop the previous instance's connections, failure ratio, rate limit and hangs."""
     inbound.pool.close()
+    inbound.queue.hangs = HangLimit()
     inbound.queue.failing = 0.0
     inbound.queue.rate_limit = RateLimit()
 
@@ -403,6 +418,8 @@
             crashes = await confirm_crash(inbound.crashes, key, call.instance)
     except TimeoutError:
         reason = "the upstream did not answer before the deadline"
+        if clock.monotonic_s() < call.deadline_s:
+            reason = "the upstream answers later calls, but not this one"
         outcome = Unknown(reason, timed_out=True)
     else:
         outcome = inbound.wire.outcome(
@@ -486,24 +503,78 @@
 async def _send_call(
     inbound: Inbound, connection: PooledConnection, call: Call, remaining_s: float
 ) -> ReceivedResponse:
-    """Send a call and return its answer; on any error, close the connection."""
+    """Send a call and return its answer; on any error, close the connection.
+
+    Raises:
+        NotSentError: The connection was closed before.
+        AnswerLostError: The call was sent, and no complete answer arrived.
+        TimeoutError: No answer came before the deadline, or the call hangs and may be
+            made again.
+    """
     headers = inbound.wire.headers(call, max(int(remaining_s * 1000), 1))
     head = render_head(call.method, call.path, headers, call.body)
+    clock = inbound.context.clock
+    hang_s = hang_time_of(inbound.queue, call.route)
+    sent_s = clock.monotonic_s()
+    number = record_sent(inbound.sent)
     record_start(inbound.running, call.call_id)
+    began: list[bool] = []
+    connection.on_data = lambda: began.append(True) if not began else None
+    check: asyncio.TimerHandle | None = None
     try:
-        async with asyncio.timeout(remaining_s + DEADLINE_MARGIN_S):
-            answer = await connection.send(
+        async with asyncio.timeout(remaining_s + DEADLINE_MARGIN_S) as timeout:
+            answer_future = connection.send(
                 head, call.body, call.call_id.encode(), call.method == "HEAD"
             )
+            if call.idempotent and hang_s < remaining_s:
+                loop = asyncio.get_running_loop()
+
+                def give_up_if_hung() -> None:
+                    nonlocal check
+                    if began or answer_future.done():
+                        return
+                    elapsed_s = clock.monotonic_s() - sent_s
+                    overtaken = inbound.sent.answered_later[number]
+                    if is_hung(elapsed_s, hang_s, overtaken):
+                        timeout.reschedule(loop.time())
+                    else:
+                        check = loop.call_later(HANG_CHECK_PERIOD_S, give_up_if_hung)
+
+                check = loop.call_later(hang_s, give_up_if_hung)
+            answer = await answer_future
+    except TimeoutError:
+        connection.close()
+        now_s = clock.monotonic_s()
+        if not began and now_s - sent_s >= hang_s:
+            _record_hang(inbound, call, now_s - sent_s, now_s)
+        raise
     except BaseException:
         connection.close()
         raise
     finally:
+        if check is not None:
+            check.cancel()
+        del inbound.sent.answered_later[number]
         record_end(inbound.running, call.call_id)
-    inbound.pool.release(connection, inbound.context.clock.monotonic_s())
+    record_answered(inbound.sent, number)
+    inbound.pool.release(connection, clock.monotonic_s())
     return answer
 
 
+def _record_hang(inbound: Inbound, call: Call, elapsed_s: float, now_s: float) -> None:
+    """Send fewer calls at once if hangs repeat, and log it."""
+    if record_hang(inbound.queue.hangs, inbound.queue.slots, now_s):
+        inbound.context.record(
+            EventKind.CALLS_HANG,
+            request_id=call.call_id,
+            route=call.route,
+            instance=call.instance,
+            elapsed_ms=round(elapsed_s * 1000),
+            slots=inbound.queue.slots,
+            fewer=lowered_by(inbound.queue.hangs, now_s),
+        )
+
+
 def _record_call(
     inbound: Inbound,
     call: Call,
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -20,6 +20,7 @@
 GAUGE_TEXTS = {
     "revision": "The configuration in force.",
     "slots_in_use": "Calls that this host's upstream runs.",
+    "slots_lowered": "Slots that are not used, because calls hang at the upstream.",
     "calls_waiting": "Calls that wait for a slot.",
     "upstream_rate_limited": "Whether this host's upstream names a rate limit.",
     "upstream_rate_limit_per_second": "The rate limit, 0 if it names none.",
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -30,6 +30,8 @@
     (never answers), ``stale_refusal`` (writes a refusal of an earlier call, which names
     no call, before it runs the call and answers).
 
+    The next ``silent_count`` calls are never answered; they run until they are closed.
+
     A call of ``deadly_path`` ends the instance. ``crash_count`` counts its ends.
 
     An answer has ``body_bytes`` bytes if that is not 0, else the expected body.
@@ -51,6 +53,7 @@
     fault: str = ""
     deadly_path: str = ""
     crash_count: int = 0
+    silent_count: int = 0
     body_bytes: int = 0
     answer_headers: list[tuple[str, str]] = attrs.field(factory=list)
     ran: Counter[str] = attrs.field(factory=Counter)
@@ -219,6 +222,9 @@
         ConnectionResetError: The connection was closed, or more was sent on it.
     """
     delay_s = 3600.0 if instance.fault == "silent" else instance.service_time_s
+    if instance.silent_count:
+        instance.silent_count -= 1
+        delay_s = 3600.0
     if not delay_s:
         return
     closed = asyncio.ensure_future(reader.read(1))
