--- a/agaterelay/core/slot_queue.py
+++ b/agaterelay/core/slot_queue.py
@@ -3,8 +3,9 @@
 This handles overload, when more calls arrive than the upstream has slots. A call waits
 only as long as its answer can still reach the caller within the route's target: waiting
 longer would make every call of an overloaded upstream late and serve no more of them.
-The queue is ordered by rank, then calls that can meet their target before calls that are
-late already, then by the earliest target. A call whose turn would come too late is
+The queue is ordered by rank, then calls that an upstream makes for a request in its slot
+before all others, then calls that can meet their target before calls that are late already,
+then by the earliest target. A call whose turn would come too late is
 refused on arrival, so that its outbound proxy can place it elsewhere or tell the caller
 when to retry. The rate limit that the upstream names, and the limit while it is cold, are
 applied when a call gets its slot.
@@ -26,6 +27,7 @@
     take_cold_token,
     wait_for_cold_token_s,
 )
+from agaterelay.core.hang_limit import HangLimit, hang_time_s, lowered_by
 from agaterelay.core.placing import LoadReport
 from agaterelay.core.rate_limit import (
     MIN_RATE_PER_S,
@@ -69,7 +71,8 @@
 
     ``estimated_time_s`` is the service time to expect, and ``late`` whether the target
     could not be met even without waiting. ``cold_period`` is the period of the cold limit
-    in which the call got its slot.
+    in which the call got its slot. ``nested`` calls are made by an upstream for a request
+    that holds a slot.
     """
 
     rank: int
@@ -79,21 +82,23 @@
     late: bool = False
     call_id: str = ""
     cold_period: int = 0
+    nested: bool = False
 
     def __lt__(self, other: Ticket) -> bool:
         return self._order < other._order
 
     @property
-    def _order(self) -> tuple[int, bool, float]:
-        return (self.rank, self.late, self.target_s)
+    def _order(self) -> tuple[int, bool, bool, float]:
+        return (self.rank, not self.nested, self.late, self.target_s)
 
 
 @attrs.frozen
 class ServiceTime:
-    """The smoothed service time of a route's calls."""
+    """The smoothed service time of a route's calls; ``samples`` counts them."""
 
     mean_s: float = INITIAL_SERVICE_TIME_S
     deviation_s: float = 0.0
+    samples: int = 1
 
     @property
     def estimated_time_s(self) -> float:
@@ -136,13 +141,15 @@
     shed_limit: int = 0
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     cold: ColdState = attrs.field(factory=ColdState)
+    hangs: HangLimit = attrs.field(factory=HangLimit)
 
 
 def concurrency_limit(queue: SlotQueue, now_s: float) -> int:
     """Return how many calls may run concurrently at this time."""
+    limit = queue.slots - lowered_by(queue.hangs, now_s)
     if now_s - queue.shed_at_s < SHED_PAUSE_S:
-        return max(min(queue.shed_limit, queue.slots), 1)
-    return max(queue.slots, 1)
+        limit = min(queue.shed_limit, limit)
+    return max(limit, 1)
 
 
 def make_ticket(
@@ -152,12 +159,13 @@
     target_s: float,
     deadline_s: float,
     now_s: float,
+    nested: bool = False,
 ) -> Ticket:
     """Return a ticket for a call, with the service time estimated for its route."""
     known = queue.service_times.get(route)
     estimated_time_s = known.estimated_time_s if known else queue.service_time_s
     late = now_s + estimated_time_s > target_s
-    return Ticket(rank, target_s, deadline_s, estimated_time_s, late)
+    return Ticket(rank, target_s, deadline_s, estimated_time_s, late, nested=nested)
 
 
 def max_wait_s(ticket: Ticket, now_s: float) -> float:
@@ -165,6 +173,9 @@
     remaining_s = (
         ticket.deadline_s - now_s - MIN_REMAINING_TIME_RATIO * ticket.estimated_time_s
     )
+    if ticket.nested:
+        # A refusal throws away its parent's run, so a late answer is better.
+        return max(remaining_s, 0.0)
     if ticket.late:
         return max(MAX_LATE_WAIT_RATIO * remaining_s, 0.0)
     return max(min(ticket.target_s - now_s - ticket.estimated_time_s, remaining_s), 0.0)
@@ -338,9 +349,16 @@
         known.mean_s + SERVICE_TIME_SMOOTHING_RATIO * error_s,
         known.deviation_s
         + SERVICE_TIME_SMOOTHING_RATIO * (abs(error_s) - known.deviation_s),
+        known.samples + 1,
     )
 
 
+def hang_time_of(queue: SlotQueue, route: str) -> float:
+    """Return after how long a call of a route may be considered hung, in seconds."""
+    known = queue.service_times.get(route, ServiceTime(samples=0))
+    return hang_time_s(known.estimated_time_s, known.samples)
+
+
 def record_call_end(queue: SlotQueue, failed: bool, now_s: float) -> None:
     """Update the failure ratio after a call on the upstream."""
     current = failure_ratio(queue, now_s)
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -34,6 +34,7 @@
 from agaterelay.core.cold_limit import assume_cold, is_limited
 from agaterelay.core.deployment import Deployment
 from agaterelay.core.evacuation import is_evacuated
+from agaterelay.core.hang_limit import lowered_by
 from agaterelay.core.memory_account import MemoryAccount, plan_limit_bytes, release
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
@@ -226,6 +227,9 @@
     gauges["revision"] = revision_of(node.state)
     gauges["slots_in_use"] = node.inbound.queue.in_use
     gauges["calls_waiting"] = len(node.inbound.queue.waiting)
+    gauges["slots_lowered"] = lowered_by(
+        node.inbound.queue.hangs, node.context.clock.monotonic_s()
+    )
     gauges["upstream_rate_limited"] = rate_limit.rate_per_s is not None
     gauges["upstream_rate_limit_per_second"] = rate_limit.rate_per_s or 0.0
     cold = node.inbound.queue.cold
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -67,6 +67,7 @@
         413,
         "A configuration changed the workspaces, their keys or their terms.",
     )
+    CALLS_HANG = (414, "Calls hang at an upstream; fewer are sent at once for a time.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node stopped sending calls to the new version.")
     MOVE_FINISHED = (502, "A move was completed or reverted.")
--- a/agaterelay/mesh/inbound.py
+++ b/agaterelay/mesh/inbound.py
@@ -11,7 +11,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import attrs
@@ -40,8 +40,18 @@
 )
 from agaterelay.core.crash_suspects import Key, is_held, request_key
 from agaterelay.core.evidence import Tally, add_calls
+from agaterelay.core.hang_limit import (
+    HangLimit,
+    SentCalls,
+    is_hung,
+    lowered_by,
+    record_answered,
+    record_hang,
+    record_sent,
+)
 from agaterelay.core.memory_account import MemoryAccount
 from agaterelay.core.model import ColdLimit
+from agaterelay.core.nested_calls import RunningCalls, record_end, record_start
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
 from agaterelay.core.rate_limit import RateLimit, update_rate
@@ -54,6 +64,7 @@
     Ticket,
     compute_retry_after_s,
     grant_free_slots,
+    hang_time_of,
     is_still_accepted,
     limit_reason,
     make_load_report,
@@ -83,6 +94,8 @@
 DRAINING_RETRY_S = 0.1
 # Allows for announcements that are some seconds late.
 SILENCE_LIMIT_HEARTBEATS = 4
+# How often a call is considered again that has taken too long.
+HANG_CHECK_PERIOD_S = 0.1
 # One of this many calls is logged, besides all that failed.
 CALLS_PER_LOG_LINE = 50
 
@@ -160,8 +173,11 @@
             state before.
         cold_limit: Returns what the service's cold upstreams accept, None for no limit.
         is_evacuated: Returns whether this host's zone is evacuated.
-        grant_timer: Fires when the first waiting call may be sent under the limits, None if no call waits for that.
+        grant_timer: Fires when the first waiting call may be sent under the limits, None
+            if no call waits for that.
         end_check: The check in progress of whether the upstream has ended.
+        running: The calls that the upstream runs now, and their nested calls.
+        sent: The same calls in the order in which they were sent.
         call_count: The number of calls that the upstream has run; selects the calls
             that are logged.
     """
@@ -183,6 +199,8 @@
     is_evacuated: Callable[[], bool] = lambda: False
     grant_timer: asyncio.TimerHandle | None = None
     end_check: asyncio.Task[None] | None = None
+    running: RunningCalls = attrs.field(factory=RunningCalls)
+    sent: SentCalls = attrs.field(factory=SentCalls)
     call_count: int = 0
     stopping: bool = False
     rng: random.Random = attrs.field(factory=random.Random)
@@ -230,8 +248,9 @@
 
 
 def reset_instance_state(inbound: Inbound) -> None:
-    """Drop the connections to the previous instance, its failure ratio and its limits."""
+    """Drop the previous instance's connections, failure ratio, limits and hangs."""
     inbound.pool.close()
+    inbound.queue.hangs = HangLimit()
     inbound.queue.failing = 0.0
     inbound.queue.rate_limit = RateLimit()
     apply_new_start(inbound.queue.cold)
@@ -321,11 +340,19 @@
     _grant_next(inbound)
 
 
-async def run_call(inbound: Inbound, call: Call) -> CallResult:
+async def run_call(
+    inbound: Inbound, call: Call, may_start: Callable[[], Awaitable[bool]] | None = None
+) -> CallResult:
     """Admit a call and run it on the upstream, or refuse it.
 
     On cancellation, a queued call is removed from the queue; for a running call the
     connection is closed, so that the upstream stops working on it.
+
+    Args:
+        inbound: The inbound proxy.
+        call: The call.
+        may_start: Awaited when the call has a slot and a connection; returns whether it
+            may be sent. None if no permission is needed.
     """
     refresh_cold_limit(inbound)
     reason = find_refusal_reason(inbound)
@@ -346,7 +373,7 @@
             return CallResult(ticket, False, report_load(inbound))
         was_sent = True
         try:
-            run = await _run_in_slot(inbound, call, ticket, arrived_s)
+            run = await _run_in_slot(inbound, call, ticket, arrived_s, may_start)
             was_sent = run.was_sent
         finally:
             if was_sent:
@@ -379,7 +406,13 @@
     """Wait for a slot; return the refusal, or the ticket if the call has a slot."""
     now_s = inbound.context.clock.monotonic_s()
     ticket = make_ticket(
-        inbound.queue, call.route, call.rank, call.target_s, call.deadline_s, now_s
+        inbound.queue,
+        call.route,
+        call.rank,
+        call.target_s,
+        call.deadline_s,
+        now_s,
+        call.nested,
     )
     answer = request_slot(inbound.queue, ticket, now_s, inbound.rng)
     if isinstance(answer, Refused):
@@ -459,7 +492,11 @@
 
 
 async def _run_in_slot(
-    inbound: Inbound, call: Call, ticket: Ticket, arrived_s: float
+    inbound: Inbound,
+    call: Call,
+    ticket: Ticket,
+    arrived_s: float,
+    may_start: Callable[[], Awaitable[bool]] | None,
 ) -> Run:
     """Run a call that has a slot."""
     clock = inbound.context.clock
@@ -474,8 +511,15 @@
         record_call_end(inbound.queue, True, clock.monotonic_s())
         treat_as_cold(inbound, "no connection")
         return Run(NotRun(f"the upstream accepts no connection: {error}", 0.1))
+    try:
+        permitted = may_start is None or await may_start()
+    except asyncio.CancelledError:
+        inbound.pool.release(connection, clock.monotonic_s())
+        raise
     key = request_key(call.service, call.method, call.path, call.body)
     reason = find_refusal_reason(inbound)
+    if not permitted:
+        reason = "the node of its caller did not permit the start"
     if is_held(inbound.crashes.suspects, key, clock.monotonic_s()):
         reason = describe_hold(key)
     remaining_s = call.deadline_s - clock.monotonic_s()
@@ -501,6 +545,8 @@
             crashes = await confirm_crash(inbound.crashes, key, call.instance)
     except TimeoutError:
         reason = "the upstream did not answer before the deadline"
+        if clock.monotonic_s() < call.deadline_s:
+            reason = "the upstream answers later calls, but not this one"
         outcome = Unknown(reason, timed_out=True)
     else:
         outcome = inbound.wire.outcome(
@@ -584,21 +630,78 @@
 async def _send_call(
     inbound: Inbound, connection: PooledConnection, call: Call, remaining_s: float
 ) -> ReceivedResponse:
-    """Send a call and return its answer; on any error, close the connection."""
+    """Send a call and return its answer; on any error, close the connection.
+
+    Raises:
+        NotSentError: The connection was closed before.
+        AnswerLostError: The call was sent, and no complete answer arrived.
+        TimeoutError: No answer came before the deadline, or the call hangs and may be
+            made again.
+    """
     headers = inbound.wire.headers(call, max(int(remaining_s * 1000), 1))
     head = render_head(call.method, call.path, headers, call.body)
+    clock = inbound.context.clock
+    hang_s = hang_time_of(inbound.queue, call.route)
+    sent_s = clock.monotonic_s()
+    number = record_sent(inbound.sent)
+    record_start(inbound.running, call.call_id)
+    began: list[bool] = []
+    connection.on_data = lambda: began.append(True) if not began else None
+    check: asyncio.TimerHandle | None = None
     try:
-        async with asyncio.timeout(remaining_s + DEADLINE_MARGIN_S):
-            answer = await connection.send(
+        async with asyncio.timeout(remaining_s + DEADLINE_MARGIN_S) as timeout:
+            answer_future = connection.send(
                 head, call.body, call.call_id.encode(), call.method == "HEAD"
             )
+            if call.idempotent and hang_s < remaining_s:
+                loop = asyncio.get_running_loop()
+
+                def give_up_if_hung() -> None:
+                    nonlocal check
+                    if began or answer_future.done():
+                        return
+                    elapsed_s = clock.monotonic_s() - sent_s
+                    overtaken = inbound.sent.answered_later[number]
+                    if is_hung(elapsed_s, hang_s, overtaken):
+                        timeout.reschedule(loop.time())
+                    else:
+                        check = loop.call_later(HANG_CHECK_PERIOD_S, give_up_if_hung)
+
+                check = loop.call_later(hang_s, give_up_if_hung)
+            answer = await answer_future
+    except TimeoutError:
+        connection.close()
+        now_s = clock.monotonic_s()
+        if not began and now_s - sent_s >= hang_s:
+            _record_hang(inbound, call, now_s - sent_s, now_s)
+        raise
     except BaseException:
         connection.close()
         raise
-    inbound.pool.release(connection, inbound.context.clock.monotonic_s())
+    finally:
+        if check is not None:
+            check.cancel()
+        del inbound.sent.answered_later[number]
+        record_end(inbound.running, call.call_id)
+    record_answered(inbound.sent, number)
+    inbound.pool.release(connection, clock.monotonic_s())
     return answer
 
 
+def _record_hang(inbound: Inbound, call: Call, elapsed_s: float, now_s: float) -> None:
+    """Send fewer calls at once if hangs repeat, and log it."""
+    if record_hang(inbound.queue.hangs, inbound.queue.slots, now_s):
+        inbound.context.record(
+            EventKind.CALLS_HANG,
+            request_id=call.call_id,
+            route=call.route,
+            instance=call.instance,
+            elapsed_ms=round(elapsed_s * 1000),
+            slots=inbound.queue.slots,
+            fewer=lowered_by(inbound.queue.hangs, now_s),
+        )
+
+
 def _record_call(
     inbound: Inbound,
     call: Call,
--- a/agaterelay/mesh/notifications.py
+++ b/agaterelay/mesh/notifications.py
@@ -51,7 +51,7 @@
 # The number of items of these frames that nodes of earlier builds know. They ignore the
 # item that follows, which is there only if an evacuation has been ordered.
 NEWS_LENGTH = 8
-HELLO_LENGTH = 10
+HELLO_LENGTH = 11
 
 Decoded = TypeVar("Decoded")
 
@@ -63,7 +63,8 @@
     frame = _build_news_frame(links, [state.own], [])
     view = list(view_fingerprint(state))
     known, later = frame[1:NEWS_LENGTH], frame[NEWS_LENGTH:]
-    connection.send([Frame.HELLO, *known, view, member_count, *later])
+    # The flag says that this node asks before it starts a call.
+    connection.send([Frame.HELLO, *known, view, member_count, True, *later])
 
 
 def _build_news_frame(
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -67,6 +67,7 @@
         int((call.target_s - now_s) * 1000),
         call.is_retry,
         call.workspace,
+        call.nested,
     ]
 
 
@@ -94,6 +95,7 @@
         target_s=now_s + check_number(encoded[13]) / 1000,
         is_retry=check_flag(encoded[14]),
         workspace=_decode_workspace(encoded[15]) if len(encoded) > 15 else "",
+        nested=len(encoded) > 16 and check_flag(encoded[16]),
     )
 
 
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -163,13 +163,14 @@
                 return sent[0], news
 
             hello, news = frames()
-            assert (len(hello), len(news)) == (10, 8)
+            # The first ten items, and a flag that the previous build ignores.
+            assert (len(hello), len(news)) == (11, 8)
             await put_row(fleet.store, "op", KEY, b"1")
             await wait_until(lambda: links.state.evacuations)
             hello_after, news_after = frames()
-            assert (hello_after[:10], news_after[:8]) == (hello, news)
+            assert (hello_after[:11], news_after[:8]) == (hello, news)
             (evacuation,) = links.state.evacuations.values()
             encoded = [[["b", evacuation.number, True]]]
-            assert hello_after[10:] == news_after[8:] == encoded
+            assert hello_after[11:] == news_after[8:] == encoded
 
     asyncio.run(scenario())
--- a/tests/mesh/test_wire.py
+++ b/tests/mesh/test_wire.py
@@ -56,3 +56,12 @@
     encoded = [*transferred(encode_call(CALL, 0.0))[:15], name]
     with pytest.raises(DecodeError):
         decode_call(encoded, 0.0)
+
+
+def test_calls_of_earlier_builds_are_read_without_the_later_fields():
+    call = Call("p.1", "GET", "/", (), b"", "r", "s", "v", "i", "c", True, 1, 2.0, 1.0)
+    call = attrs.evolve(call, workspace="w", nested=True)
+    encoded = encode_call(call, 0.0)
+    assert decode_call(encoded, 0.0) == call
+    decoded = decode_call(encoded[:15], 0.0)
+    assert decoded == attrs.evolve(call, workspace="", nested=False)
