--- a/tests/adapters/test_http_pool.py
+++ b/tests/adapters/test_http_pool.py
@@ -240,3 +240,51 @@
         assert peak_bytes < MAX_PEAK_RATIO * longest_bytes
 
     asyncio.run(scenario())
+
+
+NEXT_RESPONSE = HEAD + b"Content-Length: 4\r\n\r\nnext"
+INVALID_STATUS_LINES = [
+    *(b"HTTP/1.1 %s X" % status for status in (b"000", b"007", b"099", b"101")),
+    *(b"HTTP/1.1 %s X" % status for status in (b"600", b"999")),
+    *(b"HTTP/1.1 20 X", b"HTTP/1.1 2000 X", b"HTTP/1.1 -20 X", b"HTTP/1.1 abc X"),
+    *(b"HTTP/7.3 200 X", b"ICY 200 X", b"HTTP/1.1 600", b"GET / HTTP/1.1"),
+]
+
+
+# Guards against a call that waits for its deadline, and is then given another's answer,
+# after a response with a status that HTTP does not have.
+@pytest.mark.parametrize("follows", [b"", b"\r\n", b"\r\nX-Id: one\r\n\r\n"])
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_an_invalid_status_line_fails_the_call_and_ends_the_connection(line, follows):
+
+    async def scenario():
+        connection = PooledConnection(
+            b"x-id", lambda lost: None, ResponseMemory(MAX_BUFFERED_BYTES), 1000
+        )
+        connection._transport = FakeTransport()
+        waiting = connection.send(b"GET /x HTTP/1.1\r\n\r\n", b"", b"one", False)
+        connection.data_received(line + (follows or b" "))
+        if not follows:
+            connection.data_received(b"Y\r\nX-Id: one\r\n\r\n")
+        connection.data_received(NEXT_RESPONSE)
+        assert waiting.done()
+        with pytest.raises(AnswerLostError):
+            await waiting
+        assert not connection.open
+
+    asyncio.run(scenario())
+
+
+# Guards against taking an interim response that HTTP allows for an invalid one.
+@pytest.mark.parametrize("status", [100, 102, 103, 199])
+def test_the_answer_after_an_interim_response_is_read(status):
+    async def scenario():
+        connection = PooledConnection(
+            b"x-id", lambda lost: None, ResponseMemory(MAX_BUFFERED_BYTES), 1000
+        )
+        connection._transport = FakeTransport()
+        waiting = connection.send(b"GET /x HTTP/1.1\r\n\r\n", b"", b"one", False)
+        connection.data_received(b"HTTP/1.1 %d X\r\n\r\n" % status + NEXT_RESPONSE)
+        assert (await waiting).body == b"next"
+
+    asyncio.run(scenario())
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -229,6 +229,14 @@
     )
 
 
+# Guards against passing on a status that HTTP does not have, and against believing a
+# refusal in such a response.
+@pytest.mark.parametrize("status", [0, 20, 99, 100, 101, 199, 600, 999])
+def test_a_status_that_no_final_response_has_says_nothing_of_the_call(status):
+    assert isinstance(answer(status), Unknown)
+    assert isinstance(answer(status, **{"x-not-executed": "1"}), Unknown)
+
+
 def test_not_run_is_said_only_where_the_upstream_says_so():
     assert isinstance(answer(503, **{"x-not-executed": "1"}), NotRun)
     assert isinstance(answer(421), NotRun)
