Fail a call whose response has a status that HTTP does not have

Callers got responses with statuses 600 to 999, and waited for their time limit after 000 to 099, with a later 200 on the connection taken as the answer. The parser accepts any three digits. The status is now checked with its line: below 100, above 599 and 101, which no node asks for, fail the call at once as a lost answer and close the connection. decode_upstream_outcome calls the outcome unknown for statuses that no final response has, before it looks for a refusal.

--- a/agaterelay/adapters/http_pool.py
+++ b/agaterelay/adapters/http_pool.py
@@ -36,6 +36,10 @@
 FRAMING_BYTES_PER_BODY_BYTE = 8
 # Includes interim (1xx) responses and late responses to other calls.
 MAX_RESPONSES_PER_CALL = 16
+# HTTP has no other statuses, and the parser takes any of three digits.
+MIN_STATUS = 100
+MAX_STATUS = 599
+SWITCHING_PROTOCOLS = 101
 
 
 class NotSentError(Exception):
@@ -239,6 +243,21 @@
         if self._waiter is None:
             self.reusable = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Check the status as soon as its line is read."""
+        self._check_status()
+
+    def _check_status(self) -> bool:
+        """Return whether the status may be that of an answer; abort if it is not.
+
+        The node never asks to switch protocols.
+        """
+        status = self._parser.get_status_code()
+        if MIN_STATUS <= status <= MAX_STATUS and status != SWITCHING_PROTOCOLS:
+            return True
+        self.abort("not an answer: invalid status")
+        return False
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header of the current response; trailers are dropped."""
         if not self._headers_complete:
@@ -246,6 +265,8 @@
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited and how long the connection may idle."""
+        if not self._check_status():
+            return
         self._headers_complete = True
         keys = {name.lower(): value for name, value in self._headers}
         status = self._parser.get_status_code()
--- a/agaterelay/platform/headers.py
+++ b/agaterelay/platform/headers.py
@@ -21,6 +21,9 @@
 RATE_LIMIT_KEY = b"server-limit"
 LEAVING_KEY = b"server-leaving"
 MISDIRECTED = 421
+# A final response has no other statuses.
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
 MAX_RETRY_AFTER_S = 30.0
 _MAX_NUMBER_LENGTH = 32
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]*)?|\.[0-9]+")
@@ -77,10 +80,13 @@
 ) -> Outcome:
     """Return the outcome of a call from the upstream's response.
 
-    The outcome is Unknown if the response belongs to another call, is encoded, or is a
-    success without the seal that the upstream itself sets. A refusal of another call says
+    The outcome is Unknown if the response has a status that HTTP does not have, belongs to
+    another call, is encoded, or is a success without the seal that the upstream itself
+    sets. A refusal of another call says
     nothing about this one, so it is believed only with this call's id.
     """
+    if not MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS:
+        return Unknown("the answer has an invalid status")
     keys = {name.lower(): value for name, value in headers}
     if keys.get(ATTEMPT_ID_KEY, b"") != call_id.encode():
         return Unknown("the answer is of another call")
