Bound the responses that a node holds, and callers' connections

Callers that read none of their answers took a node to 270 MB where 120 are allowed, and 400 idle connections opened 414 descriptors of 256. Responses now enter the memory account: at the upstream's node from the upstream's answer until its link has sent it, at the caller's node from the frame until the caller's connection has taken it. A result over 64 KiB is offered first (OFFER_RESULT) and sent when the calling node has room (GRANT_RESULT), one at a time on a link, so the sum over all links is bounded and control frames wait behind one large frame at most. Without room, the holder with the most bytes for longest without progress is closed if it has made none for 3 s; else the new response ends its own connection. Callers' connections are limited to two thirds of maxFds; idle ones are closed first. Events 422 to 424, metrics by cause.

--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -52,6 +52,8 @@
     GRANT = 17
     ASK_LOAN = 18
     LOAN = 19
+    OFFER_RESULT = 24
+    GRANT_RESULT = 25
 
 
 def configure_socket(tcp_socket: socket.socket, user_timeout_ms: int) -> None:
--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -13,6 +13,8 @@
 
 import asyncio
 import logging
+import os
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -24,6 +26,11 @@
 from agaterelay.core.model import CallerLimits
 
 BACKLOG = 1024
+# The event loop accepts this many connections before it handles the first of them, so
+# that the limit of connections is exceeded by little.
+ACCEPTS_PER_TURN = 16
+# Longer bodies are not copied to send them together with their heads.
+MAX_JOINED_BYTES = 64 << 10
 # Callers reuse a connection for up to four fifths of the idle limit, so it stays open
 # for a little longer than the limit.
 IDLE_MARGIN_S = 2.0
@@ -153,6 +160,11 @@
         on_refused: Callable[[Refusal], None] = lambda refusal: None,
         reserve_body: Callable[[object, int], bool] = lambda holder, size_bytes: True,
         release_body: Callable[[object], None] = lambda holder: None,
+        hold_response: Callable[[ServerConnection, object, int], bool] = (
+            lambda connection, holder, size_bytes: True
+        ),
+        max_connections: int | None = None,
+        on_crowded: Callable[[str], None] = lambda cause: None,
     ) -> None:
         """Create a server that does not listen yet.
 
@@ -164,11 +176,20 @@
             reserve_body: Reserves room for a body, given what identifies it and its size
                 in bytes as far as it is known; returns whether there is room.
             release_body: Releases the room of a body that is no longer needed.
+            hold_response: Takes room for a response, given the connection, what
+                identifies the request, and its size in bytes; returns whether there is
+                room. The connection is closed if there is none.
+            max_connections: How many connections may be open, None for any number.
+            on_crowded: Called with the cause when a connection is closed because too
+                many are open.
         """
         self.handler = handler
         self.on_refused = on_refused
         self.reserve_body = reserve_body
         self.release_body = release_body
+        self.hold_response = hold_response
+        self.max_connections = max_connections
+        self.on_crowded = on_crowded
         self.connections: set[ServerConnection] = set()
         self.get_limits = get_limits
         self._server: asyncio.Server | None = None
@@ -184,8 +205,40 @@
             lambda: ServerConnection(self),
             host,
             int(port),
-            backlog=BACKLOG,
+            backlog=ACCEPTS_PER_TURN,
         )
+        # The kernel's queue is longer than what is accepted in one turn.
+        for listening in self._server.sockets:
+            with socket.socket(fileno=os.dup(listening.fileno())) as same:
+                same.listen(BACKLOG)
+
+    def limit_connections(self, newest: ServerConnection) -> None:
+        """Close a connection if too many are open.
+
+        The one that is idle for longest is closed first, then the one with the most
+        unread bytes, then the one that has been sending a head for longest. Where all
+        others have a request in progress, the newest one is closed.
+        """
+        if self.max_connections is None or (
+            len(self.connections) <= self.max_connections
+        ):
+            return
+        others = [item for item in self.connections if item is not newest]
+        idle = [item for item in others if item.idle]
+        unread = [item for item in others if item.unsent_bytes]
+        beginning = [item for item in others if item.in_head]
+        if idle:
+            cause, closed = "idle", min(idle, key=lambda item: item.idle_since_s)
+        elif unread:
+            cause, closed = "unread", max(unread, key=lambda item: item.unsent_bytes)
+        elif beginning:
+            cause = "in_head"
+            closed = min(beginning, key=lambda item: item.head_began_s)
+        else:
+            cause, closed = "newest", newest
+        self.connections.discard(closed)
+        closed.abort()
+        self.on_crowded(cause)
 
     @property
     def unsent_bytes(self) -> int:
@@ -266,6 +319,7 @@
         self.transport = transport
         self._server.connections.add(self)
         self._set_timer()
+        self._server.limit_connections(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, and drop those that wait."""
@@ -461,15 +515,28 @@
         try:
             response = await self._server.handler(item)
             closes = response.closes or self._shutting_down or not item.keep_alive
-            rendered = render_response(response, closes, item.version, head_only)
+            body = b"" if head_only else response.body
+            if response.status in _BODILESS_STATUSES:
+                body = b""
+            if body and not self._server.hold_response(self, item.holder, len(body)):
+                self.abort()
+                return True
+            if len(body) <= MAX_JOINED_BYTES:
+                body = b""
+            rendered = render_response(
+                response, closes, item.version, head_only or bool(body)
+            )
         except Exception:
             logger.exception("request handler failed")
             closes = True
+            body = b""
             response = HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR.value)
             rendered = render_response(response, closes, item.version, head_only)
         finally:
             self._server.release_body(item.holder)
         self._write(rendered)
+        if body:
+            self._write(body)
         return closes
 
     def _write(self, data: bytes) -> None:
@@ -511,6 +578,27 @@
             LINGERING_READ_S, self._end_lingering, unsent_bytes
         )
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being received or answered, and nothing is unread."""
+        in_request = self._in_head or self._in_body or self.task is not None
+        return not in_request and not self.unsent_bytes
+
+    @property
+    def idle_since_s(self) -> float:
+        """When the connection became idle, on the event loop's clock."""
+        return max(self._idle_since_s, self._last_received_s)
+
+    @property
+    def in_head(self) -> bool:
+        """Whether a request's head is being received."""
+        return self._in_head
+
+    @property
+    def head_began_s(self) -> float:
+        """When the newest request's head began, on the event loop's clock."""
+        return self._head_began_s
+
     @property
     def unsent_bytes(self) -> int:
         """The size of the answers that the caller has not read yet."""
--- a/agaterelay/core/call.py
+++ b/agaterelay/core/call.py
@@ -15,7 +15,8 @@
     nodes the remaining time is sent instead. Until ``target_s`` an answer is of full use
     to the caller. ``is_retry`` is set if an earlier attempt has reached an upstream, and
     ``last_attempt`` if no retry would follow a failure; only the outbound proxy uses the
-    latter. ``workspace`` is the caller's, empty without one.
+    latter. ``workspace`` is the caller's, empty without one. ``holder`` identifies the
+    request where room for its response is taken, None if it is not taken for a request.
     """
 
     call_id: str
@@ -35,3 +36,4 @@
     is_retry: bool = False
     last_attempt: bool = False
     workspace: str = ""
+    holder: object = attrs.field(default=None, eq=False, repr=False)
--- a/agaterelay/core/memory_account.py
+++ b/agaterelay/core/memory_account.py
@@ -11,14 +11,30 @@
 
 import attrs
 
+from agaterelay.core.held_responses import (
+    MIN_LARGE_LIMIT_BYTES,
+    HeldResponses,
+    hold,
+)
+
 COPIES_PER_BODY = 3
 LARGE_BODY_BYTES = 64 << 10
 # What large bodies may take of the account.
 LARGE_BODIES_RATIO = 0.5
+# What responses may take of the account, and what large ones may take of it.
+RESPONSES_RATIO = 0.5
+LARGE_RESPONSES_RATIO = 0.35
 # What the account may take of a process's memory, together with the process itself.
 PLANNED_RATIO = 0.6
 PROCESS_BYTES = 40 << 20
 MIN_LIMIT_BYTES = 16 << 20
+# What partly received responses of the upstream may take beside the account.
+UPSTREAM_RATIO = 0.25
+MIN_UPSTREAM_BYTES = 17 << 20
+MAX_UPSTREAM_BYTES = 32 << 20
+# The part of the descriptors that is left to links, the upstream, the store and the
+# connections that one turn of the event loop accepts beyond the limit.
+OTHER_DESCRIPTORS_RATIO = 1 / 3
 
 
 @attrs.define
@@ -30,16 +46,22 @@
         held: The size in bytes of the bodies of each holder.
         small_bytes: The size of all small bodies.
         large_bytes: The size of all large bodies.
+        responses: The responses that the node holds.
     """
 
     limit_bytes: int
     held: dict[Hashable, int] = attrs.field(factory=dict)
     small_bytes: int = 0
     large_bytes: int = 0
+    responses: HeldResponses = attrs.field(
+        default=attrs.Factory(
+            lambda self: plan_responses(self.limit_bytes), takes_self=True
+        )
+    )
 
     @property
     def used_bytes(self) -> int:
-        """What all bodies take, with their copies."""
+        """What the bodies of requests take, with their copies."""
         return COPIES_PER_BODY * (self.small_bytes + self.large_bytes)
 
 
@@ -48,6 +70,26 @@
     return max(int(PLANNED_RATIO * memory_bytes) - PROCESS_BYTES, MIN_LIMIT_BYTES)
 
 
+def plan_upstream_bytes(limit_bytes: int) -> int:
+    """Return what partly received responses of the upstream may take."""
+    planned_bytes = int(UPSTREAM_RATIO * limit_bytes)
+    return min(max(planned_bytes, MIN_UPSTREAM_BYTES), MAX_UPSTREAM_BYTES)
+
+
+def plan_connections(max_descriptors: int) -> int:
+    """Return how many connections of callers may be open."""
+    return max(int(max_descriptors * (1 - OTHER_DESCRIPTORS_RATIO)), 1)
+
+
+def plan_responses(limit_bytes: int) -> HeldResponses:
+    """Return the account of responses as a part of an account of ``limit_bytes``."""
+    large_limit_bytes = int(LARGE_RESPONSES_RATIO * limit_bytes)
+    large_limit_bytes = max(large_limit_bytes, MIN_LARGE_LIMIT_BYTES)
+    return HeldResponses(
+        max(int(RESPONSES_RATIO * limit_bytes), large_limit_bytes), large_limit_bytes
+    )
+
+
 def reserve(account: MemoryAccount, holder: Hashable, size_bytes: int) -> bool:
     """Reserve room for a body, or for more of it; return whether there is room.
 
@@ -59,7 +101,7 @@
     before_bytes = account.held.get(holder, 0)
     if size_bytes <= before_bytes:
         return True
-    release(account, holder)
+    _release_body(account, holder)
     if _has_room(account, size_bytes):
         _hold(account, holder, size_bytes)
         return True
@@ -68,7 +110,12 @@
 
 
 def release(account: MemoryAccount, holder: Hashable) -> None:
-    """Release the room of a body; nothing is done if it has none."""
+    """Release the room of a body and of the response to it, if it has any."""
+    hold(account.responses, holder, 0, 0.0)
+    _release_body(account, holder)
+
+
+def _release_body(account: MemoryAccount, holder: Hashable) -> None:
     size_bytes = account.held.pop(holder, 0)
     if size_bytes > LARGE_BODY_BYTES:
         account.large_bytes -= size_bytes
@@ -78,9 +125,11 @@
 
 def _has_room(account: MemoryAccount, size_bytes: int) -> bool:
     added_bytes = COPIES_PER_BODY * size_bytes
-    if account.used_bytes + added_bytes > account.limit_bytes:
+    response_bytes = account.responses.total_bytes
+    if account.used_bytes + added_bytes + response_bytes > account.limit_bytes:
         return False
-    large_limit_bytes = LARGE_BODIES_RATIO * account.limit_bytes
+    # Responses take their room from that of large bodies, so small ones keep theirs.
+    large_limit_bytes = LARGE_BODIES_RATIO * account.limit_bytes - response_bytes
     return (
         size_bytes <= LARGE_BODY_BYTES
         or COPIES_PER_BODY * account.large_bytes + added_bytes <= large_limit_bytes
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -32,7 +32,13 @@
 )
 from agaterelay.core.checked import DecodeError, check_name
 from agaterelay.core.deployment import Deployment
-from agaterelay.core.memory_account import MemoryAccount, plan_limit_bytes, release
+from agaterelay.core.memory_account import (
+    MemoryAccount,
+    plan_connections,
+    plan_limit_bytes,
+    plan_upstream_bytes,
+    release,
+)
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
 from agaterelay.events import EventKind
@@ -59,6 +65,11 @@
 )
 from agaterelay.mesh.notifications import broadcast_frame
 from agaterelay.mesh.request_state import Outbound, Request
+from agaterelay.mesh.response_room import (
+    ResponseRoom,
+    hold_response,
+    record_crowded,
+)
 from agaterelay.mesh.state import MeshState, NodeContext, revision_of
 from agaterelay.mesh.store_watch import (
     OperatorRowFormat,
@@ -105,9 +116,13 @@
     context = NodeContext(deployment, clock, store, record)
     incarnation = int(clock.now().timestamp() * 1000)
     state = MeshState(own=own_member(deployment, incarnation))
-    pool = HttpPool(deployment.upstream_address, WIRE.id_header)
-    crashes = Crashes(context, pool)
     account = MemoryAccount(plan_limit_bytes(deployment.memory_mb << 20))
+    pool = HttpPool(
+        deployment.upstream_address,
+        WIRE.id_header,
+        max_buffered_bytes=plan_upstream_bytes(account.limit_bytes),
+    )
+    crashes = Crashes(context, pool)
     inbound = Inbound(context, WIRE, pool, crashes, account)
     inbound.line.unconfirmed = not deployment.first_start
     watch: StoreWatch | None = None
@@ -116,7 +131,9 @@
         if watch is not None:
             apply_config(watch, value, "link")
 
-    links = Links(context, state, inbound, apply_document)
+    links = Links(
+        context, state, inbound, apply_document, ResponseRoom(context, account)
+    )
     crashes.tell = partial(broadcast_frame, links)
     watch = StoreWatch(context, state, links, make_operator_format())
     inbound.on_leaving = partial(apply_leaving, watch, inbound)
@@ -146,6 +163,7 @@
         headers=headers.forwarded_headers(request.headers),
         body=request.body,
         wait_ms=headers.parse_deadline_ms(request.header(headers.DEADLINE_KEY)),
+        holder=request.holder,
     )
 
 
@@ -214,6 +232,8 @@
     gauges["upstream_rate_limit_per_second"] = rate_limit.rate_per_s or 0.0
     gauges["links_up"] = sum(link.usable for link in node.links.links.values())
     gauges["body_bytes"] = node.inbound.account.used_bytes
+    gauges["response_bytes"] = node.inbound.account.responses.total_bytes
+    node.meters.closed_for_room = node.links.room.closed
     gauges["requests_held"] = node.inbound.crashes.held_count
     gauges["requests_suspected"] = len(node.inbound.crashes.suspects.crashes)
     gauges["store_up"] = node.state.store_up
@@ -242,6 +262,9 @@
         record_refusal,
         partial(reserve_body, account),
         partial(release, account),
+        partial(hold_response, node.links.room),
+        plan_connections(deployment.max_descriptors),
+        partial(record_crowded, node.links.room),
     )
     return [
         (node.callers, deployment.calls_address),
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -60,6 +60,12 @@
     REQUEST_REFUSED = (409, "A request was refused before it was sent to any node.")
     CALL_ABANDONED = (410, "An inbound proxy ended a call whose caller disconnected.")
     REQUEST_HELD = (411, "A request is held back: upstreams end when they run it.")
+    SLOW_READER_CLOSED = (
+        422,
+        "A connection that did not read its response was closed, or a result dropped.",
+    )
+    RESPONSE_WITHOUT_ROOM = (423, "A response was dropped: there is no room for it.")
+    CONNECTION_CLOSED = (424, "A caller's connection was closed: too many are open.")
     REQUEST_RELEASED = (412, "An operator ended the holding back of a request.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node stopped sending calls to the new version.")
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -12,6 +12,7 @@
 from agaterelay.core.catch_up import CatchUp
 from agaterelay.core.placing import TargetLoad
 from agaterelay.mesh.inbound import Inbound
+from agaterelay.mesh.response_room import ResponseRoom
 from agaterelay.mesh.state import MeshState, NodeContext
 
 # A time on the monotonic clock that is before any event.
@@ -32,6 +33,9 @@
             they can be sent to another upstream. Any other call waits for its answer, as
             the upstream may still be running it.
         pinged_s: When the unanswered ping was sent, None if there is none.
+        holders: What identifies the request of each pending call.
+        granted: The numbers of the results that the other node may send and that have
+            not arrived.
         usable: Whether calls may be placed on the link.
         watching_s: When the other node last reported that it watches the store.
         lost_s: When the connection was last lost.
@@ -41,6 +45,8 @@
     connection: FrameConnection | None = None
     pending: dict[int, asyncio.Future[Any]] = attrs.field(factory=dict)
     retryable: set[int] = attrs.field(factory=set)
+    holders: dict[int, object] = attrs.field(factory=dict)
+    granted: set[int] = attrs.field(factory=set)
     last_received_s: float = 0.0
     pinged_s: float | None = None
     usable: bool = False
@@ -76,6 +82,9 @@
         running: The tasks of other nodes' calls, by connection and number.
         accepted: The connections that other nodes have dialled.
         refused: The host and kind of messages that could not be read.
+        room: The responses that this node holds.
+        offers: The results that await a grant of the calling node, by connection and
+            number.
         own_load: The load of this host's own upstream.
         members_requested_s: When members were last requested because views differ.
         views_differ_since_s: Since when some view differs, None if none does.
@@ -87,6 +96,10 @@
     state: MeshState
     inbound: Inbound
     apply_document: Callable[[bytes], None]
+    room: ResponseRoom
+    offers: dict[tuple[FrameConnection, int], asyncio.Future[bool]] = attrs.field(
+        factory=dict
+    )
     links: dict[str, Link] = attrs.field(factory=dict)
     outdated: bool = False
     chosen_s: float = NEVER_S
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -13,6 +13,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -24,10 +25,11 @@
     check_number,
     check_whole,
 )
+from agaterelay.core.held_responses import LARGE_RESPONSE_BYTES
 from agaterelay.core.membership import Member
 from agaterelay.core.memory_account import release, reserve
 from agaterelay.core.neighbours import choose_linked_hosts
-from agaterelay.core.outcome import NotRun, Unknown
+from agaterelay.core.outcome import Answered, NotRun, Unknown
 from agaterelay.core.placing import TargetLoad, record_load_report
 from agaterelay.core.trial import RouteTallies
 from agaterelay.events import EventKind
@@ -42,6 +44,16 @@
     record_watching,
     send_hello,
 )
+from agaterelay.mesh.response_room import (
+    MAX_UNSENT_BYTES,
+    WaitingOffer,
+    await_room,
+    hold_result,
+    keep_result,
+    move_result,
+    release_result,
+    release_when_sent,
+)
 from agaterelay.mesh.revisions import (
     handle_revision,
     handle_table_frame,
@@ -76,6 +88,11 @@
 UNREADABLE_RETRY_S = 0.1
 NO_ROOM_RETRY_S = 0.3
 MAX_KIND_LENGTH = 20
+# A long result is kept for this much longer than its call's deadline. The calling node
+# gives up by then and cancels the call.
+OFFER_MARGIN_S = 1.0
+# How often a link is checked for room for the next long result.
+DRAIN_POLL_S = 0.01
 # The frames that carry membership and revision notifications.
 MEMBERSHIP_FRAMES = (Frame.HELLO, Frame.NEWS, Frame.WANT_MEMBERS, Frame.MEMBERS)
 
@@ -211,6 +228,9 @@
     link.lost_s = links.context.clock.monotonic_s()
     link.load = TargetLoad()
     pending, link.pending = link.pending, {}
+    granted, link.granted = link.granted, set()
+    for number in granted:
+        release_result(links.room, ("granted", number))
     if was_up:
         links.context.record(
             EventKind.LINK_LOST, peer=link.host, reason=reason, waiting=len(pending)
@@ -242,7 +262,11 @@
     kind = frame[0]
     if kind == Frame.CALL:
         number = frame[1]
-        task = asyncio.create_task(_serve_call(links, connection, number, frame[2]))
+        # Nodes of earlier builds send no flag, and take long results without an offer.
+        takes_offers = len(frame) > 4 and check_flag(frame[4])
+        task = asyncio.create_task(
+            _serve_call(links, connection, number, frame[2], takes_offers)
+        )
         links.running[connection, number] = task
         # A task that is cancelled before its first step runs none of its own code, so
         # it cannot remove itself.
@@ -254,6 +278,10 @@
         task = links.running.get((connection, frame[1]))
         if task is not None:
             task.cancel()
+    elif kind == Frame.GRANT_RESULT:
+        offered = links.offers.get((connection, check_whole(frame[1])))
+        if offered is not None and not offered.done():
+            offered.set_result(True)
     elif kind == Frame.PING:
         connection.send([Frame.PONG, revision_of(links.state), links.state.watching])
         handle_revision(links, connection, check_whole(frame[1]))
@@ -301,7 +329,11 @@
 
 
 async def _serve_call(
-    links: Links, connection: FrameConnection, number: int, encoded: list[Any]
+    links: Links,
+    connection: FrameConnection,
+    number: int,
+    encoded: list[Any],
+    takes_offers: bool,
 ) -> None:
     try:
         call = decode_call(encoded, links.context.clock.monotonic_s())
@@ -311,11 +343,68 @@
         result = CallResult(outcome, False, report_load(links.inbound))
     else:
         result = await _run_received_call(links, call)
+        outcome = result.outcome
+        if isinstance(outcome, Answered) and (
+            len(outcome.body) > LARGE_RESPONSE_BYTES and takes_offers
+        ):
+            await _send_large_result(links, connection, number, result, call)
+            return
+    _send_result(links, connection, number, result)
+
+
+def _send_result(
+    links: Links, connection: FrameConnection, number: int, result: CallResult
+) -> None:
     connection.send(
         [Frame.RESULT, number, encode_result(result), revision_of(links.state)]
     )
 
 
+async def _send_large_result(
+    links: Links,
+    connection: FrameConnection,
+    number: int,
+    result: CallResult,
+    call: Call,
+) -> None:
+    """Send a result once the calling node has room for it, or that it is lost.
+
+    Exactly one result is sent for each offer, also for a cancelled call, so that the
+    calling node knows when the room that it granted is free.
+    """
+    room = links.room
+    key = (connection, number)
+    granted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+    lost = replace(result, outcome=Unknown("there is no room to hold the answer"))
+    size_bytes = len(result.outcome.body)
+
+    def give_way() -> None:
+        if not granted.done():
+            granted.set_result(False)
+
+    if not hold_result(room, key, size_bytes, give_way):
+        _send_result(links, connection, number, lost)
+        return
+    sent = lost
+    links.offers[key] = granted
+    connection.send([Frame.OFFER_RESULT, number, size_bytes])
+    clock = links.context.clock
+    wait_s = max(call.deadline_s - clock.monotonic_s(), 0.0) + OFFER_MARGIN_S
+    try:
+        async with asyncio.timeout(wait_s):
+            if await granted:
+                keep_result(room, key)
+                while connection.open and connection.unsent_bytes > MAX_UNSENT_BYTES:
+                    await clock.sleep(DRAIN_POLL_S)
+                sent = result
+    except TimeoutError:
+        pass
+    finally:
+        links.offers.pop(key, None)
+        _send_result(links, connection, number, sent)
+        release_when_sent(room, connection, key)
+
+
 async def _run_received_call(links: Links, call: Call) -> CallResult:
     """Run another node's call, if there is room for its body."""
     account = links.inbound.account
@@ -343,8 +432,11 @@
         link.usable = True
         links.context.record(EventKind.LINK_UP, peer=link.host)
     kind = frame[0]
-    if kind == Frame.RESULT:
+    if kind == Frame.OFFER_RESULT:
+        _handle_offer(links, link, check_whole(frame[1]), check_whole(frame[2]))
+    elif kind == Frame.RESULT:
         future = link.pending.pop(frame[1], None)
+        _take_granted(links, link, frame[1], future)
         try:
             result = decode_result(frame[2])
         except DecodeError as error:
@@ -371,6 +463,38 @@
         handle_table_frame(links, link.connection, frame)
 
 
+def _handle_offer(links: Links, link: Link, number: int, size_bytes: int) -> None:
+    """Let another node send a long result as soon as there is room for it."""
+    connection = link.connection
+
+    def is_wanted() -> bool:
+        return number in link.pending and link.connection is connection
+
+    def grant() -> None:
+        link.granted.add(number)
+        connection.send([Frame.GRANT_RESULT, number])
+
+    if number not in link.pending or number in link.granted:
+        return
+    await_room(
+        links.room, WaitingOffer(("granted", number), size_bytes, is_wanted, grant)
+    )
+
+
+def _take_granted(
+    links: Links, link: Link, number: int, future: asyncio.Future[Any] | None
+) -> None:
+    """Give the room of a result that has arrived to its request, or release it."""
+    if number not in link.granted:
+        return
+    link.granted.discard(number)
+    holder = link.holders.get(number)
+    if holder is not None and future is not None and not future.done():
+        move_result(links.room, ("granted", number), holder)
+    else:
+        release_result(links.room, ("granted", number))
+
+
 async def send_call(links: Links, host: str, call: Call) -> CallResult:
     """Run a call through the inbound proxy of this host or of another one.
 
@@ -398,10 +522,11 @@
     now_s = links.context.clock.monotonic_s()
     revision = revision_of(links.state)
     if not link.connection.send(
-        [Frame.CALL, number, encode_call(call, now_s), revision]
+        [Frame.CALL, number, encode_call(call, now_s), revision, True]
     ):
         raise LinkDownError(host)
     link.pending[number] = future
+    link.holders[number] = call.holder
     if call.idempotent and not call.last_attempt:
         link.retryable.add(number)
     load = link.load
@@ -419,6 +544,7 @@
     finally:
         load.own -= 1
         link.retryable.discard(number)
+        link.holders.pop(number, None)
 
 
 async def fetch_tallies(links: Links, host: str, span_s: float) -> RouteTallies | None:
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -25,6 +25,7 @@
     "upstream_rate_limit_per_second": "The rate limit, 0 if it names none.",
     "links_up": "Links to other nodes that can be used.",
     "body_bytes": "What the bodies of requests take in this process.",
+    "response_bytes": "What responses that are not sent yet take in this process.",
     "requests_held": "Requests held back because upstreams end when they run them.",
     "requests_suspected": "Requests that upstreams had in hand when they ended.",
     "store_up": "Whether the store answered last.",
@@ -63,6 +64,7 @@
         requests: Callers' requests by route and outcome.
         request_durations: The time from a request to its answer, by outcome.
         store_calls: Calls to the store by path and result.
+        closed_for_room: Connections and results closed to make room, by cause.
         gauges: The present values, by name; set before each scrape.
         loop_lag: How late timers fired.
     """
@@ -70,6 +72,7 @@
     requests: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     request_durations: dict[str, Durations] = attrs.field(factory=dict)
     store_calls: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    closed_for_room: Counter[str] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(
         factory=lambda: dict.fromkeys(GAUGE_TEXTS, 0.0)
     )
@@ -115,6 +118,14 @@
         for labels, count in self.store_calls.items():
             store_calls.add_metric(labels, count)
         yield store_calls
+        closed = core.CounterMetricFamily(
+            "agaterelay_closed_for_room",
+            "Connections and results closed to make room, by cause.",
+            labels=["cause"],
+        )
+        for cause, count in self.closed_for_room.items():
+            closed.add_metric([cause], count)
+        yield closed
         for name, value in self.gauges.items():
             yield core.GaugeMetricFamily(f"agaterelay_{name}", GAUGE_TEXTS[name], value)
         yield core.HistogramMetricFamily(
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -264,6 +264,7 @@
         deadline_s=request_state.deadline_s,
         target_s=request_state.target_s,
         is_retry=request_state.arrivals > 0,
+        holder=request.holder,
         last_attempt=outbound.shutting_down
         or request_state.placements >= MAX_PLACEMENTS
         or request_state.arrivals + 1 >= route.max_attempts,
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -26,6 +26,7 @@
     Attributes:
         wait_ms: How long the caller waits for the answer, None if it does not say.
         workspace: The name of the caller's workspace, empty without one.
+        holder: Identifies the request where room for its response is taken.
     """
 
     call_id: str
@@ -36,6 +37,7 @@
     body: bytes = attrs.field(repr=False)
     wait_ms: int | None = None
     workspace: str = ""
+    holder: object = attrs.field(default=None, eq=False, repr=False)
 
 
 @attrs.define
