Describe how responses fit into a node's memory; keep a stop waiting for offers

A planned stop cut off large results that waited for a grant, since their calls had ended: the new test saw 502. The stop now waits for offers as for calls. Short responses that the kernel takes at once are not entered into the account, so they cost nothing.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -178,7 +178,9 @@
             release_body: Releases the room of a body that is no longer needed.
             hold_response: Takes room for a response, given the connection, what
                 identifies the request, and its size in bytes; returns whether there is
-                room. The connection is closed if there is none.
+                room. The connection is closed if there is none. It is called before a
+                long response is written, and after a short one that the kernel did not
+                take at once.
             max_connections: How many connections may be open, None for any number.
             on_crowded: Called with the cause when a connection is closed because too
                 many are open.
@@ -518,11 +520,11 @@
             body = b"" if head_only else response.body
             if response.status in _BODILESS_STATUSES:
                 body = b""
-            if body and not self._server.hold_response(self, item.holder, len(body)):
-                self.abort()
-                return True
             if len(body) <= MAX_JOINED_BYTES:
                 body = b""
+            elif not self._server.hold_response(self, item.holder, len(body)):
+                self.abort()
+                return True
             rendered = render_response(
                 response, closes, item.version, head_only or bool(body)
             )
@@ -537,6 +539,11 @@
         self._write(rendered)
         if body:
             self._write(body)
+        elif self.unsent_bytes and not self._server.hold_response(
+            self, item.holder, len(rendered)
+        ):
+            self.abort()
+            return True
         return closes
 
     def _write(self, data: bytes) -> None:
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -258,7 +258,7 @@
 
 def _is_busy(node: Node) -> bool:
     """Return whether requests are in flight, or answers are still being read."""
-    if node.outbound.in_flight or node.inbound.in_flight:
+    if node.outbound.in_flight or node.inbound.in_flight or node.links.offers:
         return True
     if node.callers is not None and node.callers.unsent_bytes:
         return True
--- a/tests/mesh/test_large_results.py
+++ b/tests/mesh/test_large_results.py
@@ -6,7 +6,8 @@
 
 from agaterelay.adapters.frames import FrameConnection
 from agaterelay.core.held_responses import hold
-from tests.mesh.fleet import running_fleet, send_request, wait_until
+from agaterelay.mesh.node import stop_gracefully
+from tests.mesh.fleet import kill_node, running_fleet, send_request, wait_until
 
 LARGE_BYTES = 1 << 20
 
@@ -85,6 +86,31 @@
     asyncio.run(scenario())
 
 
+# Guards against a planned stop that cuts off a result whose call has ended.
+def test_a_result_that_waits_is_delivered_before_its_node_stops(monkeypatch):
+    async def scenario():
+        async with running_fleet(("panel", "desk")) as fleet:
+            monkeypatch.setattr("agaterelay.mesh.node.MIN_STOP_S", 0.1)
+            fleet.hosts[1].instance.body_bytes = LARGE_BYTES
+            room = rooms(fleet)[0]
+            fill(room, room.responses.large_limit_bytes)
+            asked = asyncio.create_task(send_request(fleet, fleet.hosts[0]))
+            await wait_until(lambda: room.waiting)
+
+            async def stop():
+                await stop_gracefully(fleet.hosts[1].node)
+                await kill_node(fleet.hosts[1])
+
+            stopping = asyncio.create_task(stop())
+            await asyncio.sleep(0.5)
+            hold(room.responses, "other", 0, 0.0)
+            status, _, body = await asked
+            assert (status, len(body)) == (200, LARGE_BYTES)
+            await stopping
+
+    asyncio.run(scenario())
+
+
 # Guards against a node that keeps any number of results that others don't take.
 def test_a_result_without_room_at_the_upstreams_node_is_lost_and_said_so():
     async def scenario():
