--- a/tests/mesh/test_slow_readers.py
+++ b/tests/mesh/test_slow_readers.py
@@ -31,6 +31,11 @@
 IDLE_CROWD = 400
 # Less than the upstream can take, so that the node refuses none of the crowd for load.
 CROWD_INTERVAL_S = 0.1
+# 5 Mbit/s.
+SLOW_BYTES_PER_S = 625_000
+SLOW_BUFFER_BYTES = 32 << 10
+SLOW_PART_BYTES = 64 << 10
+SLOW_READERS_CROWD = 12
 CROWD_TIME_S = 6.0
 RENEWAL_S = 1.0
 
@@ -248,6 +253,32 @@
     asyncio.run(scenario())
 
 
+# Guards against closing a caller that reads, slowly, for others that don't.
+def test_a_caller_that_reads_at_5_mbit_per_second_gets_its_whole_answer(tmp_path):
+    async def scenario():
+        async with running_processes(tmp_path) as processes:
+            processes[1].instance.body_bytes = LONG_ANSWER_BYTES
+            loop = asyncio.get_running_loop()
+            reader = await open_request(processes[0], "desk", "slow", SLOW_BUFFER_BYTES)
+            received_bytes = len(await loop.sock_recv(reader, SLOW_PART_BYTES))
+            crowd = [
+                await open_request(processes[0], "desk", f"c-{number}", 4096)
+                for number in range(SLOW_READERS_CROWD)
+            ]
+            began_s = loop.time()
+            while received_bytes < LONG_ANSWER_BYTES:
+                part = await loop.sock_recv(reader, SLOW_PART_BYTES)
+                assert part
+                received_bytes += len(part)
+                due_s = began_s + received_bytes / SLOW_BYTES_PER_S
+                await asyncio.sleep(max(due_s - loop.time(), 0))
+            check_memory(processes)
+            for sock in (reader, *crowd):
+                sock.close()
+
+    asyncio.run(scenario())
+
+
 # Guards against a limit that refuses what a node has room for.
 def test_the_longest_answer_is_served_in_calm(tmp_path):
     async def scenario():
