--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -54,6 +54,8 @@
     LOAN = 19
     MAY_START = 20
     START = 21
+    OFFER_RESULT = 24
+    GRANT_RESULT = 25
 
 
 def configure_socket(tcp_socket: socket.socket, user_timeout_ms: int) -> None:
--- a/agaterelay/core/call.py
+++ b/agaterelay/core/call.py
@@ -16,7 +16,8 @@
     to the caller. ``is_retry`` is set if an earlier attempt has reached an upstream, and
     ``last_attempt`` if no retry would follow a failure; only the outbound proxy uses the
     latter. ``workspace`` is the caller's, empty without one. ``nested`` is set if an
-    upstream makes the call for a request that it is running.
+    upstream makes the call for a request that it is running. ``holder`` identifies the
+    request where room for its response is taken, None if it is not taken for a request.
     """
 
     call_id: str
@@ -37,3 +38,4 @@
     last_attempt: bool = False
     workspace: str = ""
     nested: bool = False
+    holder: object = attrs.field(default=None, eq=False, repr=False)
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -13,6 +13,7 @@
 from agaterelay.core.catch_up import CatchUp
 from agaterelay.core.placing import TargetLoad
 from agaterelay.mesh.inbound import Inbound
+from agaterelay.mesh.response_room import ResponseRoom
 from agaterelay.mesh.state import MeshState, NodeContext
 
 # A time on the monotonic clock that is before any event.
@@ -34,6 +35,9 @@
             the upstream may still be running it.
         starts: The pending calls that the other node asks for before it starts them.
         pinged_s: When the unanswered ping was sent, None if there is none.
+        holders: What identifies the request of each pending call.
+        granted: The numbers of the results that the other node may send and that have
+            not arrived.
         usable: Whether calls may be placed on the link.
         watching_s: When the other node last reported that it watches the store.
         lost_s: When the connection was last lost.
@@ -48,6 +52,8 @@
     pending: dict[int, asyncio.Future[Any]] = attrs.field(factory=dict)
     retryable: set[int] = attrs.field(factory=set)
     starts: dict[int, CallStart] = attrs.field(factory=dict)
+    holders: dict[int, object] = attrs.field(factory=dict)
+    granted: set[int] = attrs.field(factory=set)
     last_received_s: float = 0.0
     pinged_s: float | None = None
     usable: bool = False
@@ -87,6 +93,9 @@
             start, by connection and number.
         accepted: The connections that other nodes have dialled.
         refused: The host and kind of messages that could not be read.
+        room: The responses that this node holds.
+        offers: The results that await a grant of the calling node, by connection and
+            number.
         own_load: The load of this host's own upstream.
         loads: The loads of other hosts' upstreams, by host; they outlive the links.
         members_requested_s: When members were last requested because views differ.
@@ -99,6 +108,10 @@
     state: MeshState
     inbound: Inbound
     apply_document: Callable[[bytes], None]
+    room: ResponseRoom
+    offers: dict[tuple[FrameConnection, int], asyncio.Future[bool]] = attrs.field(
+        factory=dict
+    )
     links: dict[str, Link] = attrs.field(factory=dict)
     outdated: bool = False
     chosen_s: float = NEVER_S
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -29,6 +29,7 @@
         workspace: The name of the caller's workspace, empty without one.
         credential: What the request carries to tell its workspace.
         anonymous_headers: The headers without those that say whose the request is.
+        holder: Identifies the request where room for its response is taken.
     """
 
     call_id: str
@@ -41,6 +42,7 @@
     workspace: str = ""
     credential: Credential = NO_CREDENTIAL
     anonymous_headers: RawHeaders = attrs.field(default=(), repr=False)
+    holder: object = attrs.field(default=None, eq=False, repr=False)
 
 
 @attrs.define
