Ask for and grant tokens of limited workspaces over the links

Requests of a workspace with a rate take a token from the granting host of their zone, which borrows from other zones when its bucket runs low. A first start begins nearly empty too: several hosts may take themselves for the first one until they know each other.

--- a/agaterelay/core/allotment.py
+++ b/agaterelay/core/allotment.py
@@ -120,12 +120,12 @@
     denied: Rate = attrs.field(factory=Rate)
 
 
-def begin_bucket(
-    plan: Plan, now_s: float, is_first_start: bool, fill_delay_s: float = 0.0
-) -> Bucket:
-    """Return the bucket of a host that begins to grant."""
-    tokens = plan.capacity if is_first_start else plan.start_tokens
-    return Bucket(tokens, now_s, now_s + fill_delay_s)
+def begin_bucket(plan: Plan, now_s: float, fill_delay_s: float = 0.0) -> Bucket:
+    """Return the bucket of a host that begins to grant.
+
+    It is nearly empty, since what another host granted in the last window isn't known.
+    """
+    return Bucket(plan.start_tokens, now_s, now_s + fill_delay_s)
 
 
 def refill(bucket: Bucket, plan: Plan, reach: float, now_s: float) -> None:
@@ -236,7 +236,7 @@
     Only a steady demand asks ahead; the tokens of a rare request would expire unused.
     """
     demand_per_s = _decayed(ledger.demand, DEMAND_SPAN_S, now_s)
-    return int(demand_per_s * lifetime_s / 2)
+    return max(int(demand_per_s * lifetime_s / 2 - 1), 0)
 
 
 def take_unneeded(ledger: Ledger, needed: int, now_s: float) -> int:
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -36,6 +36,7 @@
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
 from agaterelay.events import EventKind
+from agaterelay.mesh.allotments import Allotments, handle_question, wanted_links
 from agaterelay.mesh.announcements import (
     apply_leaving,
     handle_announcement,
@@ -120,8 +121,13 @@
     crashes.tell = partial(broadcast_frame, links)
     watch = StoreWatch(context, state, links, make_operator_format())
     inbound.on_leaving = partial(apply_leaving, watch, inbound)
-    outbound = Outbound(context, state, links, new_retry_budget(deployment.bounds))
     meters = Meters()
+    allotments = Allotments(context, links, counts=meters.allotments)
+    links.handle_question = partial(handle_question, allotments)
+    links.wanted_links = partial(wanted_links, allotments)
+    outbound = Outbound(
+        context, state, links, new_retry_budget(deployment.bounds), allotments
+    )
     outbound.observe_outcome = meters.count_request
     return Node(
         context=context,
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -61,6 +61,13 @@
     CALL_ABANDONED = (410, "An inbound proxy ended a call whose caller disconnected.")
     REQUEST_HELD = (411, "A request is held back: upstreams end when they run it.")
     REQUEST_RELEASED = (412, "An operator ended the holding back of a request.")
+    ALLOTMENT_REFUSED = (
+        418,
+        "A request was refused for its workspace's rate; sampled.",
+    )
+    GRANT_UNANSWERED = (419, "A host didn't answer for a grant; others are asked.")
+    GRANTING_BEGAN = (420, "A node began to grant in another's place, or again.")
+    GRANTS_DISCARDED = (421, "A node did not run for long; its buckets start anew.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node stopped sending calls to the new version.")
     MOVE_FINISHED = (502, "A move was completed or reverted.")
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -77,6 +77,8 @@
         accepted: The connections that other nodes have dialled.
         refused: The host and kind of messages that could not be read.
         own_load: The load of this host's own upstream.
+        handle_question: Called with a question for a grant or a loan.
+        wanted_links: Returns the hosts that the allotments need links to.
         members_requested_s: When members were last requested because views differ.
         views_differ_since_s: Since when some view differs, None if none does.
         differing_views: The fingerprint and the number of hosts of each view that differs
@@ -97,6 +99,10 @@
     accepted: set[FrameConnection] = attrs.field(factory=set)
     refused: set[tuple[str, str]] = attrs.field(factory=set)
     own_load: TargetLoad = attrs.field(factory=TargetLoad)
+    handle_question: Callable[[FrameConnection, list[Any]], None] = (
+        lambda connection, frame: None
+    )
+    wanted_links: Callable[[], set[str]] = set
     server: asyncio.Server | None = None
     catch_up: CatchUp[FrameConnection] = attrs.field(factory=CatchUp)
     documents: Documents = attrs.field(factory=Documents)
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -31,6 +31,7 @@
 from agaterelay.core.placing import TargetLoad, record_load_report
 from agaterelay.core.trial import RouteTallies
 from agaterelay.events import EventKind
+from agaterelay.mesh.allotments import handle_reply
 from agaterelay.mesh.crashes import handle_crashes, send_known_crashes
 from agaterelay.mesh.inbound import CallResult, report_load, run_call, tallies_since
 from agaterelay.mesh.link import NEVER_S, Link, LinkDownError, Links
@@ -129,6 +130,7 @@
         wanted.update(
             host for host in state.other_zone_readers if host in state.members
         )
+    wanted.update(host for host in links.wanted_links() if host in state.members)
     for host in wanted:
         if host not in links.links:
             link = links.links[host] = Link(host)
@@ -261,6 +263,8 @@
         _handle_membership_frame(links, connection, frame)
     elif kind == Frame.CRASHES:
         handle_crashes(links.inbound.crashes, connection, frame)
+    elif kind in (Frame.ASK_GRANT, Frame.ASK_LOAN):
+        links.handle_question(connection, frame)
     elif kind == Frame.ASK_TALLIES:
         since_s = links.context.clock.monotonic_s() - check_number(frame[2])
         tallies = tallies_since(links.inbound, since_s)
@@ -363,6 +367,8 @@
         future = link.pending.pop(frame[1], None)
         if future is not None and not future.done():
             future.set_result(tallies)
+    elif kind in (Frame.GRANT, Frame.LOAN):
+        handle_reply(link, frame)
     elif kind in MEMBERSHIP_FRAMES:
         _handle_membership_frame(links, link.connection, frame)
     elif kind == Frame.CRASHES:
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -63,6 +63,7 @@
         requests: Callers' requests by route and outcome.
         request_durations: The time from a request to its answer, by outcome.
         store_calls: Calls to the store by path and result.
+        allotments: Grants, refusals, questions and loans of limited workspaces, by cause.
         gauges: The present values, by name; set before each scrape.
         loop_lag: How late timers fired.
     """
@@ -70,6 +71,7 @@
     requests: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     request_durations: dict[str, Durations] = attrs.field(factory=dict)
     store_calls: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    allotments: Counter[str] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(
         factory=lambda: dict.fromkeys(GAUGE_TEXTS, 0.0)
     )
@@ -115,6 +117,14 @@
         for labels, count in self.store_calls.items():
             store_calls.add_metric(labels, count)
         yield store_calls
+        allotments = core.CounterMetricFamily(
+            "agaterelay_allotments",
+            "Grants, refusals, questions and loans for limited workspaces.",
+            labels=["cause"],
+        )
+        for cause, count in self.allotments.items():
+            allotments.add_metric([cause], count)
+        yield allotments
         for name, value in self.gauges.items():
             yield core.GaugeMetricFamily(f"agaterelay_{name}", GAUGE_TEXTS[name], value)
         yield core.HistogramMetricFamily(
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -18,6 +18,7 @@
 from agaterelay.core.retry_budget import RetryBudget, make_retry_budget
 from agaterelay.core.stopping import STOP_MARGIN_S, schedule_stop
 from agaterelay.events import EventKind
+from agaterelay.mesh.allotments import keep_allotments
 from agaterelay.mesh.announcements import expire_silent_upstream, publish_stopping
 from agaterelay.mesh.callers import has_disconnected
 from agaterelay.mesh.feeds import watch_fleet, watch_operator
@@ -176,6 +177,7 @@
                 node.outbound, node.context.deployment.bounds.retry_slack
             ),
             lambda: expire_silent_upstream(node.watch, node.inbound),
+            lambda: keep_allotments(node.outbound.allotments),
         ):
             run_step(node.context, "upkeep", step)
 
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -25,6 +25,7 @@
 from agaterelay.core.stopping import takes_request
 from agaterelay.core.trial import should_brake
 from agaterelay.events import EventKind
+from agaterelay.mesh.allotments import acquire_allotment, give_back
 from agaterelay.mesh.crashes import record_answered_request
 from agaterelay.mesh.inbound import CallResult, describe_hold
 from agaterelay.mesh.link import LinkDownError
@@ -101,10 +102,18 @@
     request_state.target_s = started_s + remaining_target_s(
         outbound, route, request.wait_ms
     )
-    earn_retry_tokens(outbound.budget, service)
     outbound.in_flight += 1
     try:
+        token = await acquire_allotment(
+            outbound.allotments, request.workspace, request_state.deadline_s - now_s
+        )
+        if isinstance(token, Answered):
+            return token
+        earn_retry_tokens(outbound.budget, service)
         outcome = await _run_attempts(outbound, request_state)
+        if token is not None and not request_state.arrivals:
+            if isinstance(outcome, NotRun):
+                give_back(outbound.allotments, token)
     except asyncio.CancelledError:
         outbound.context.record(
             EventKind.CALL_CANCELLED,
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -15,6 +15,7 @@
 from agaterelay.core.retry_budget import RetryBudget
 from agaterelay.core.stopping import StopSchedule
 from agaterelay.core.weighted_round_robin import WeightedRoundRobin
+from agaterelay.mesh.allotments import Allotments
 from agaterelay.mesh.link import Links
 from agaterelay.mesh.state import MeshState, NodeContext
 
@@ -60,6 +61,7 @@
 
     Attributes:
         budget: The node's part of the retry budget.
+        allotments: The tokens of limited workspaces.
         splits: The division of calls between services, by route.
         trials: Counts of the versions on trial, by service and order number.
         routes: The routes of each host, longest path prefix first.
@@ -77,6 +79,7 @@
     state: MeshState
     links: Links
     budget: RetryBudget
+    allotments: Allotments
     rng: random.Random = attrs.field(factory=random.Random)
     splits: dict[str, WeightedRoundRobin] = attrs.field(factory=dict)
     trials: dict[tuple[str, int], TrialCounts] = attrs.field(factory=dict)
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -44,7 +44,7 @@
     node that they leave, which keeps it from using one whose own node has forgotten that.
     ``tombstones`` holds the last incarnation and sequence of each removed host.
     ``versions`` caches which version serves a service, and ``targets`` which hosts serve
-    a version; both are cleared whenever members, orders or moves change, as is ``view``,
+    a version, and ``zone_hosts`` the usable hosts of a zone; all are cleared whenever members, orders or moves change, as is ``view``,
     the fingerprint of all member records together with the own one that it was made of.
     """
 
@@ -69,6 +69,7 @@
     news: asyncio.Event = attrs.field(factory=asyncio.Event)
     versions: dict[str, tuple[str, str | None]] = attrs.field(factory=dict)
     targets: dict[tuple[str, str], list[Member]] = attrs.field(factory=dict)
+    zone_hosts: dict[str, list[str]] = attrs.field(factory=dict)
     view: tuple[Member, tuple[int, ...]] | None = None
 
 
@@ -81,6 +82,7 @@
     """Clear what was derived from members, orders and moves."""
     state.versions.clear()
     state.targets.clear()
+    state.zone_hosts.clear()
     state.view = None
 
 
@@ -90,6 +92,16 @@
     return [state.own, *others]
 
 
+def hosts_of_zone(state: MeshState, zone: str) -> list[str]:
+    """Return the usable hosts of an availability zone, this one included."""
+    found = state.zone_hosts.get(zone)
+    if found is None:
+        members = all_members(state)
+        found = [item.host for item in members if item.usable and item.zone == zone]
+        state.zone_hosts[zone] = found
+    return found
+
+
 def view_fingerprint(state: MeshState) -> tuple[int, ...]:
     """Return the fingerprint of the member records of all known hosts."""
     if state.view is None or state.view[0] is not state.own:
--- a/tests/core/test_allotment.py
+++ b/tests/core/test_allotment.py
@@ -47,6 +47,11 @@
     return largest
 
 
+def full_bucket(plan, now_s):
+    """Return the bucket of a workspace that was idle for long."""
+    return attrs.evolve(begin_bucket(plan, now_s), tokens=plan.capacity)
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(["ask", "ask", "ask", "lend", "restart", "split", "late"]),
@@ -67,7 +72,7 @@
     plan = make_plan(workspace, BOUNDS, ZONES)
     lifetime_s = token_lifetime_s(BOUNDS)
     now_s = 0.0
-    buckets = [[begin_bucket(plan, now_s, True)] for _ in range(ZONES)]
+    buckets = [[full_bucket(plan, now_s)] for _ in range(ZONES)]
     used = []
     restarted_s = -math.inf
     for kind, zone, elapsed_s, wanted in steps:
@@ -92,10 +97,10 @@
             # One failure of the granting hosts a window, as the plan assumes.
             restarted_s = now_s
             if kind == "restart":
-                buckets[zone] = [begin_bucket(plan, now_s, False)]
+                buckets[zone] = [begin_bucket(plan, now_s)]
             else:
                 refill(bucket, plan, 0.5, now_s)
-                buckets[zone] = [bucket, begin_bucket(plan, now_s, False)]
+                buckets[zone] = [bucket, begin_bucket(plan, now_s)]
     assert largest_window(used) <= limit_in_window(rate, workspace.burst)
 
 
@@ -103,7 +108,7 @@
 def test_a_clock_that_goes_back_adds_no_tokens(jump_s, reach):
     """Guards against a refill for the same time twice."""
     plan = make_plan(Workspace("w", rate_per_s=10, burst=10), BOUNDS, ZONES)
-    bucket = begin_bucket(plan, 100.0, False)
+    bucket = begin_bucket(plan, 100.0)
     for now_s in (100.0, 100.0 + jump_s, 100.0):
         refill(bucket, plan, reach, now_s)
     most = plan.start_tokens + plan.rate_per_s * max(jump_s, 0)
@@ -114,7 +119,7 @@
     """Guards against tokens of the old limit that are granted after the new one."""
     high = make_plan(Workspace("w", rate_per_s=300, burst=300), BOUNDS, ZONES)
     low = make_plan(Workspace("w", rate_per_s=3, burst=3), BOUNDS, ZONES)
-    bucket = begin_bucket(high, 0.0, True)
+    bucket = full_bucket(high, 0.0)
     refill(bucket, low, 1.0, 0.0)
     assert grant(bucket, low, 1000, 0.0)[0] <= low.capacity
 
@@ -139,7 +144,7 @@
     """Play Poisson arrivals; a denied request waits briefly, as the node lets it."""
     rng = random.Random(seed)
     plan = make_plan(Workspace("w", rate_per_s=rate, burst=rate), BOUNDS, ZONES)
-    buckets = [begin_bucket(plan, 0.0, False) for _ in range(ZONES)]
+    buckets = [begin_bucket(plan, 0.0) for _ in range(ZONES)]
     arrivals = Arrivals()
     now_s = 0.0
     while now_s < duration_s:
