--- a/agaterelay/mesh/allotments.py
+++ b/agaterelay/mesh/allotments.py
@@ -334,12 +334,15 @@
 
 
 def keep_allotments(allotments: Allotments) -> None:
-    """Run in the node's upkeep: discard buckets for which another host grants again."""
+    """Begin the buckets of this host, and discard those of others; part of the upkeep.
+
+    A bucket must fill before the first question, or a workspace that was idle since the
+    start would have no burst.
+    """
     limited = limited_workspaces(allotments)
     check_gap(allotments)
-    for name in tuple(allotments.granting):
-        if name in limited:
-            _refilled(allotments, limited[name])
+    for workspace in limited.values():
+        _refilled(allotments, workspace)
     now_s = allotments.context.clock.monotonic_s()
     for host, until_s in tuple(allotments.passed_over.items()):
         if until_s <= now_s:
