--- a/agaterelay/mesh/allotments.py
+++ b/agaterelay/mesh/allotments.py
@@ -80,6 +80,10 @@
 PONG_WAIT_S = 0.8
 # How long a host that granted in another's place may take to notice that one's return.
 RETURN_DELAY_S = 1.0
+# How long the bucket of a workspace is kept that has no limit any more.
+BUCKET_RETENTION_S = 60.0
+# For so long after the first start of the whole system, no other host has granted before.
+FIRST_START_S = 3.0
 REACH_INTERVAL_S = 0.02
 # A loan below this many tokens is worth no further question at once.
 MIN_USEFUL_LOAN_TOKENS = 0.2
@@ -140,9 +144,12 @@
 
     Attributes:
         limited: The workspaces with a rate, of ``table``.
+        new_names: Workspaces that got a limit while this node ran, for which nobody can
+            have granted before.
         candidates: By workspace and zone, the hosts of the zone and those of them that
             may grant.
         passed_over: Hosts that did not answer, with the time until which none is asked.
+        started_s: When the upkeep ran first; None before.
         alive_s: When the node last ran; None before the first time.
         reach: The share of the zone's hosts that were reached at ``reach_s``.
         counts: Grants, refusals and questions by cause, for the metrics.
@@ -152,6 +159,7 @@
     links: Links
     table: RouteTable | None = None
     limited: dict[str, Workspace] = attrs.field(factory=dict)
+    new_names: set[str] = attrs.field(factory=set)
     candidates: dict[tuple[str, str], tuple[list[str], list[str]]] = attrs.field(
         factory=dict
     )
@@ -159,6 +167,7 @@
     granting: dict[str, Granting] = attrs.field(factory=dict)
     passed_over: dict[str, float] = attrs.field(factory=dict)
     alive_s: float | None = None
+    started_s: float | None = None
     reach: float = 1.0
     reach_s: float = NEVER_S
     counts: Counter[str] = attrs.field(factory=Counter)
@@ -176,13 +185,20 @@
     """Return the workspaces with a rate in the configuration in force."""
     table = allotments.links.state.table
     if table is not allotments.table:
-        allotments.table = table
         workspaces = (table.workspaces if table else None) or ()
-        allotments.limited = {item.name: item for item in workspaces if item.rate_per_s}
-        for held in (allotments.asking, allotments.granting):
-            for name in held.keys() - allotments.limited.keys():
-                # Requests that wait are refused when their own time ends.
-                del held[name]
+        limited = {item.name: item for item in workspaces if item.rate_per_s}
+        if allotments.table is not None:
+            allotments.new_names |= limited.keys() - allotments.limited.keys()
+        allotments.new_names &= limited.keys()
+        allotments.table, allotments.limited = table, limited
+        for name in allotments.asking.keys() - limited.keys():
+            # Requests that wait are refused when their own time ends.
+            del allotments.asking[name]
+        # A limit that soon comes back must not start with new tokens.
+        now_s = allotments.context.clock.monotonic_s()
+        for name in allotments.granting.keys() - limited.keys():
+            if now_s - allotments.granting[name].bucket.updated_s > BUCKET_RETENTION_S:
+                del allotments.granting[name]
         allotments.candidates.clear()
         allotments.links.outdated = True
     return allotments.limited
@@ -310,11 +326,16 @@
     Another host may grant until then: a successor that has not noticed this host yet, or
     a predecessor that is cut off and has not noticed the hosts that it can't reach.
     """
-    if allotments.context.deployment.first_start:
+    now_s = allotments.context.clock.monotonic_s()
+    started_s = now_s if allotments.started_s is None else allotments.started_s
+    first_start = allotments.context.deployment.first_start
+    if first_start and now_s - started_s < FIRST_START_S:
         return 0.0
     own = allotments.links.state.own
+    is_new = name in allotments.new_names
+    allotments.new_names.discard(name)
     if candidates_of(allotments, name, own.zone)[0] == own.host:
-        return RETURN_DELAY_S
+        return 0.0 if is_new else RETURN_DELAY_S
     idle_s = len(allotments.links.links) / IDLE_PINGS_PER_S
     return max(idle_s, 1.0) + PONG_WAIT_S
 
@@ -341,6 +362,8 @@
     """
     limited = limited_workspaces(allotments)
     check_gap(allotments)
+    if allotments.started_s is None:
+        allotments.started_s = allotments.alive_s
     for workspace in limited.values():
         _refilled(allotments, workspace)
     now_s = allotments.context.clock.monotonic_s()
--- a/bench/allotments.py
+++ b/bench/allotments.py
@@ -77,7 +77,11 @@
 
 
 async def send_requests(
-    simulation: Simulation, workspace: Workspace, factor: float, cost: Cost, end_s: float
+    simulation: Simulation,
+    workspace: Workspace,
+    factor: float,
+    cost: Cost,
+    end_s: float,
 ) -> None:
     """Send Poisson arrivals of a workspace to random hosts until ``end_s``."""
 
--- a/tests/mesh/test_allotments.py
+++ b/tests/mesh/test_allotments.py
@@ -201,18 +201,23 @@
 
 
 @pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("hot_s", [0.0, 8.0])
 @pytest.mark.parametrize("seed", [1, 2])
-def test_the_limit_holds_through_failures_of_the_granting_hosts(fault, seed):
-    """Guards against two hosts that both grant the whole part of their zone."""
+def test_the_limit_holds_through_failures_of_the_granting_hosts(fault, hot_s, seed):
+    """Guards against two hosts that both grant the whole part of their zone.
+
+    The buckets are full or empty when it happens, and their first second is counted.
+    """
 
     async def scenario():
         simulation, demand = Simulation(), Demand()
         await start_zones(simulation)
         await limit_all(simulation, Workspace("w", (), None, 120.0, 120.0))
+        await asyncio.sleep(2.0)
         sending = asyncio.create_task(
-            send_all(simulation, "w", 600.0, 30.0, demand, PLACES["all"])
+            send_all(simulation, "w", 600.0, 20.0 + hot_s, demand, PLACES["all"])
         )
-        await asyncio.sleep(8.0)
+        await asyncio.sleep(hot_s)
         await fault(simulation)
         await sending
         return demand, now_s()
@@ -223,6 +228,20 @@
     assert len(last) >= 0.9 * 5 * 120
 
 
+def test_an_idle_workspace_has_its_burst():
+    """Guards against buckets that fill only once they are asked."""
+
+    async def scenario():
+        simulation, demand = Simulation(), Demand()
+        await start_zones(simulation)
+        await limit_all(simulation, Workspace("w", (), None, 120.0, 120.0))
+        await asyncio.sleep(2.0)
+        await send_all(simulation, "w", 1200.0, 0.2, demand)
+        return demand
+
+    assert len(run_simulated(scenario).granted_s) >= 120
+
+
 def test_a_lost_link_ends_the_wait_for_a_grant():
     """Guards against requests that wait for the answer of a host that is gone."""
 
