--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -74,6 +74,13 @@
         "A configuration changed the workspaces, their keys or their terms.",
     )
     CALLS_HANG = (414, "Calls hang at an upstream; fewer are sent at once for a time.")
+    ALLOTMENT_REFUSED = (
+        418,
+        "A request was refused for its workspace's rate; sampled.",
+    )
+    GRANT_UNANSWERED = (419, "A host didn't answer for a grant; others are asked.")
+    GRANTING_BEGAN = (420, "A node began to grant in another's place, or again.")
+    GRANTS_DISCARDED = (421, "A node did not run for long; its buckets start anew.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node stopped sending calls to the new version.")
     MOVE_FINISHED = (502, "A move was completed or reverted.")
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -69,6 +69,7 @@
         unidentified: Requests refused for want of a valid key, by cause.
         store_calls: Calls to the store by path and result.
         closed_for_room: Connections and results closed to make room, by cause.
+        allotments: Grants, refusals, questions and loans of limited workspaces, by cause.
         gauges: The present values, by name; set before each scrape.
         loop_lag: How late timers fired.
     """
@@ -78,6 +79,7 @@
     unidentified: Counter[str] = attrs.field(factory=Counter)
     store_calls: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     closed_for_room: Counter[str] = attrs.field(factory=Counter)
+    allotments: Counter[str] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(
         factory=lambda: dict.fromkeys(GAUGE_TEXTS, 0.0)
     )
@@ -143,6 +145,14 @@
         for cause, count in self.closed_for_room.items():
             closed.add_metric([cause], count)
         yield closed
+        allotments = core.CounterMetricFamily(
+            "agaterelay_allotments",
+            "Grants, refusals, questions and loans for limited workspaces.",
+            labels=["cause"],
+        )
+        for cause, count in self.allotments.items():
+            allotments.add_metric([cause], count)
+        yield allotments
         for name, value in self.gauges.items():
             yield core.GaugeMetricFamily(f"agaterelay_{name}", GAUGE_TEXTS[name], value)
         yield core.HistogramMetricFamily(
