Decide per service whether calls leave their availability zone

Calls left their zone whenever one estimate spoke for it, also below full load. core/zone_spill.py starts and ends the spill of a service by the smoothed gain, with hysteresis. The mesh doesn't use the decision yet.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -4,7 +4,7 @@
 and the network are simulated, so a run takes a second and is deterministic. The node's
 placing is compared with baselines under the same load.
 
-    python -m bench.placing [--load 1.1]
+    python -m bench.placing [--load 1.1] [--scenario uneven] [--before REVISION]
 """
 
 from __future__ import annotations
@@ -12,8 +12,11 @@
 import argparse
 import heapq
 import random
+import subprocess
+import sys
 from collections import Counter
 from collections.abc import Callable, Iterator
+from types import ModuleType
 
 import attrs
 
@@ -28,6 +31,7 @@
 )
 from agaterelay.core.rate_limit import update_rate
 from agaterelay.core.slot_queue import Granted, Queued, Refused, SlotQueue, Ticket
+from agaterelay.core.zone_spill import ZoneSpill, select_by_zone
 
 # The one-way delay by whether both ends are in the same zone.
 HOP_TIME_S = {True: 0.0003, False: 0.0016}
@@ -62,6 +66,8 @@
 
     ``speeds`` and ``zones`` hold one value for each upstream, as does ``rate_limits_per_s``
     unless no upstream names a limit; None is an upstream without one.
+    ``zone_weights`` returns the parts of the arrivals that each zone gets at a time, all
+    the same if None. ``is_cut`` returns whether a zone can't reach another at a time.
     """
 
     kinds: tuple[RequestKind, ...]
@@ -72,6 +78,8 @@
     length_s: float = 20.0
     load: float = 1.0
     rate_limits_per_s: tuple[float | None, ...] = ()
+    zone_weights: Callable[[float], tuple[float, ...]] | None = None
+    is_cut: Callable[[int, int, float], bool] = lambda own, other, now_s: False
 
 
 @attrs.define
@@ -93,16 +101,23 @@
     zone: int
     loads: list[TargetLoad]
     costs: dict[str, RouteCosts] = attrs.field(factory=dict)
+    spill: ZoneSpill = attrs.field(factory=ZoneSpill)
+    is_cut: Callable[[int, int, float], bool] = lambda own, other, now_s: False
 
 
 @attrs.define
 class Request:
-    """One caller's request; a caller retries a refused request once."""
+    """One caller's request; a caller retries a refused request once.
+
+    ``work_ratio`` is its service time as a part of the mean of its kind. It is drawn with
+    the arrival, so that all policies get the same requests.
+    """
 
     kind: RequestKind
     outbound_index: int
     started_s: float
     attempted_s: float
+    work_ratio: float
     is_retry: bool = False
     tried: set[int] = attrs.field(factory=set)
     retry_after_s: float = 9.0
@@ -119,13 +134,18 @@
 
 @attrs.define
 class Result:
-    """Outcomes by kind of request, and the time for which slots were in use."""
+    """Outcomes by kind of request, and the time for which slots were in use.
+
+    ``crossings`` are the times and own zones of the calls that ran in another zone.
+    """
 
     outcome_counts: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     worth: float = 0.0
     offered_worth: float = 0.0
     busy_s: float = 0.0
     cross_zone_bytes: int = 0
+    crossings: list[tuple[float, int]] = attrs.field(factory=list)
+    answer_times_s: list[float] = attrs.field(factory=list)
     sent_s: tuple[list[float], ...] = ()
 
     @property
@@ -139,6 +159,18 @@
 ]
 
 
+def find_candidates(
+    outbound: Outbound, request: Request, inbounds: list[Inbound], now_s: float
+) -> list[int]:
+    """Return the inbound proxies that can be reached and weren't tried."""
+    return [
+        index
+        for index, inbound in enumerate(inbounds)
+        if index not in request.tried
+        and not outbound.is_cut(outbound.zone, inbound.zone, now_s)
+    ]
+
+
 def choose_cheapest(
     outbound: Outbound,
     request: Request,
@@ -146,10 +178,13 @@
     now_s: float,
     draw: random.Random,
 ) -> int | None:
-    """Choose the inbound proxy with the lowest expected cost, as the node does."""
+    """Choose the inbound proxy as the node does."""
     route = outbound.costs.setdefault(request.kind.name, RouteCosts())
-    return select_cheapest(
-        [index for index in range(len(inbounds)) if index not in request.tried],
+    candidates = find_candidates(outbound, request, inbounds, now_s)
+    return select_by_zone(
+        outbound.spill,
+        [index for index in candidates if inbounds[index].zone == outbound.zone],
+        [index for index in candidates if inbounds[index].zone != outbound.zone],
         lambda index: expected_cost_ms(
             outbound.loads[index],
             inbounds[index].queue.slots,
@@ -157,18 +192,57 @@
             inbounds[index].zone == outbound.zone,
             now_s,
         ),
+        lambda index: outbound.loads[index],
+        bool(request.tried),
+        now_s,
         draw,
     )
 
 
+def make_choice_before(placing: ModuleType) -> ChooseTarget:
+    """Return the choice without a decision on spillover.
+
+    Args:
+        placing: The module ``core.placing`` of the revision to compare with.
+    """
+
+    def choose(outbound, request, inbounds, now_s, draw):
+        route = outbound.costs.setdefault(request.kind.name, RouteCosts())
+        return placing.select_cheapest(
+            find_candidates(outbound, request, inbounds, now_s),
+            lambda index: placing.expected_cost_ms(
+                outbound.loads[index],
+                inbounds[index].queue.slots,
+                route,
+                inbounds[index].zone == outbound.zone,
+                now_s,
+            ),
+            draw,
+        )
+
+    return choose
+
+
+def load_placing(revision: str) -> ModuleType:
+    """Return the module ``core.placing`` of an earlier revision of this repository."""
+    source = subprocess.run(
+        ["git", "show", f"{revision}:agaterelay/core/placing.py"],
+        check=True,
+        capture_output=True,
+        text=True,
+    ).stdout
+    module = ModuleType("placing_before")
+    sys.modules[module.__name__] = module
+    exec(compile(source, f"{revision}:placing.py", "exec"), module.__dict__)  # noqa: S102
+    return module
+
+
 def make_round_robin() -> ChooseTarget:
     """Return a baseline that chooses the inbound proxies in turn."""
     counter = iter(range(1 << 60))
 
     def choose(outbound, request, inbounds, now_s, draw):
-        candidates = [
-            index for index in range(len(inbounds)) if index not in request.tried
-        ]
+        candidates = find_candidates(outbound, request, inbounds, now_s)
         return candidates[next(counter) % len(candidates)] if candidates else None
 
     return choose
@@ -176,7 +250,7 @@
 
 def choose_least_outstanding(outbound, request, inbounds, now_s, draw) -> int | None:
     """Choose the inbound proxy with the fewest calls of this outbound proxy."""
-    candidates = [index for index in range(len(inbounds)) if index not in request.tried]
+    candidates = find_candidates(outbound, request, inbounds, now_s)
     return min(
         candidates,
         key=lambda index: (outbound.loads[index].own, draw.random()),
@@ -191,6 +265,7 @@
     scenario: Scenario
     choose: ChooseTarget
     draw: random.Random
+    arrivals: random.Random
     inbounds: list[Inbound]
     outbounds: list[Outbound]
     now_s: float = 0.0
@@ -209,12 +284,12 @@
         for zone, speed in zip(scenario.zones, scenario.speeds, strict=True)
     ]
     outbounds = [
-        Outbound(number % 3, [TargetLoad() for _ in inbounds])
+        Outbound(number % 3, [TargetLoad() for _ in inbounds], is_cut=scenario.is_cut)
         for number in range(scenario.outbound_count)
     ]
     for inbound, rate_per_s in zip(inbounds, scenario.rate_limits_per_s, strict=False):
         update_rate(inbound.queue.rate_limit, rate_per_s, 0.0, 0.0)
-    run = Run(scenario, choose, draw, inbounds, outbounds)
+    run = Run(scenario, choose, draw, random.Random(seed), inbounds, outbounds)
     run.result.sent_s = tuple(inbound.sent_s for inbound in inbounds)
     for kind in scenario.kinds:
         _schedule_arrival(run, kind)
@@ -231,19 +306,31 @@
 
 
 def _schedule_arrival(run: Run, kind: RequestKind) -> None:
-    delay_s = run.draw.expovariate(kind.per_s * run.scenario.load)
+    delay_s = run.arrivals.expovariate(kind.per_s * run.scenario.load)
     if run.now_s + delay_s > run.scenario.length_s:
         return
 
     def handle_arrival() -> None:
-        outbound_index = run.draw.randrange(len(run.outbounds))
+        outbound_index = _draw_outbound(run)
         run.result.offered_worth += kind.worth
-        _place_request(run, Request(kind, outbound_index, run.now_s, run.now_s))
+        sigma = kind.sigma
+        work_ratio = run.arrivals.lognormvariate(-sigma * sigma / 2, sigma)
+        request = Request(kind, outbound_index, run.now_s, run.now_s, work_ratio)
+        _place_request(run, request)
         _schedule_arrival(run, kind)
 
     _schedule(run, delay_s, handle_arrival)
 
 
+def _draw_outbound(run: Run) -> int:
+    zone_weights = run.scenario.zone_weights
+    if zone_weights is None:
+        return run.arrivals.randrange(len(run.outbounds))
+    weights = zone_weights(run.now_s)
+    (zone,) = run.arrivals.choices(range(len(weights)), weights)
+    return run.arrivals.randrange(zone, len(run.outbounds), len(weights))
+
+
 def _place_request(run: Run, request: Request) -> None:
     outbound = run.outbounds[request.outbound_index]
     index = None
@@ -322,12 +409,12 @@
 def _run_call(run: Run, attempt: Attempt) -> None:
     kind, inbound = attempt.request.kind, run.inbounds[attempt.inbound_index]
     inbound.sent_s.append(run.now_s)
-    sigma = kind.sigma
-    service_time_s = kind.service_time_s / inbound.speed
-    service_time_s *= run.draw.lognormvariate(-sigma * sigma / 2, sigma)
+    service_time_s = kind.service_time_s * attempt.request.work_ratio / inbound.speed
     run.result.busy_s += service_time_s
     if inbound.zone != run.outbounds[attempt.request.outbound_index].zone:
         run.result.cross_zone_bytes += kind.answer_bytes
+        zone = run.outbounds[attempt.request.outbound_index].zone
+        run.result.crossings.append((run.now_s, zone))
     _schedule(run, service_time_s, lambda: _finish_call(run, attempt, service_time_s))
 
 
@@ -386,6 +473,7 @@
         request.outbound_index,
         request.started_s,
         run.now_s + wait_s,
+        request.work_ratio,
         True,
     )
     _schedule(run, wait_s, lambda: _place_request(run, retry))
@@ -394,6 +482,7 @@
 def _record_outcome(run: Run, request: Request) -> None:
     kind = request.kind
     elapsed_s = run.now_s - request.started_s
+    run.result.answer_times_s.append(elapsed_s)
     if elapsed_s <= kind.target_latency_s:
         run.result.outcome_counts[kind.name, "in time"] += 1
         run.result.worth += kind.worth
@@ -413,6 +502,23 @@
 )
 
 
+# Uneven upstreams of three slots in three zones, asked by many hosts. A load of 1 is what
+# their slots can do.
+UNEVEN_SPEEDS = (0.5, 1.6, 1.0, 0.7, 1.3, 0.6, 1.5, 0.9, 1.1, 1.2, 0.8, 1.4)
+UNEVEN_SCENARIO = Scenario(
+    kinds=(
+        RequestKind("read", 257, 0.085, 0.5, 0.2, 0.8, 2, 1, 0.3, 5000),
+        RequestKind("fire", 129, 0.078, 0.3, 0.25, 1.0, 1, 2, 0.6, 1500, unsafe=True),
+        RequestKind("list", 40, 0.160, 0.4, 0.5, 1.5, 2, 1, 0.3, 20000),
+    ),
+    speeds=UNEVEN_SPEEDS,
+    slots=3,
+    zones=tuple(number // 4 for number in range(12)),
+    outbound_count=33,
+    length_s=10.0,
+)
+
+
 def compute_capacity_ratio(scenario: Scenario) -> float:
     """Return the ratio of the slots' capacity to the offered load."""
     slots = scenario.slots * sum(scenario.speeds)
@@ -422,38 +528,54 @@
     return slots / demand_s
 
 
+def summarize(result: Result, scenario: Scenario) -> str:
+    """Return one line of figures on a run."""
+    ends = ", ".join(
+        f"{kind} {outcome} {count}"
+        for (kind, outcome), count in sorted(result.outcome_counts.items())
+    )
+    slots = scenario.slots * len(scenario.speeds)
+    busy = result.busy_s / scenario.length_s / slots
+    times_ms = sorted(1000 * time_s for time_s in result.answer_times_s) or [0.0]
+    p50_ms = times_ms[len(times_ms) // 2]
+    p99_ms = times_ms[len(times_ms) * 99 // 100]
+    return (
+        f"earned {result.earned_ratio:.3f} busy {busy:.2f} p50 {p50_ms:.0f} ms "
+        f"p99 {p99_ms:.0f} ms left {len(result.crossings)} "
+        f"between zones {result.cross_zone_bytes / 1e6:.1f} MB | {ends}"
+    )
+
+
 def main() -> None:
     """Print the results of each placing policy under several loads."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--load", type=float, nargs="*", default=[0.8, 1.0, 1.25, 1.6])
-    policies = {
-        "cheapest": lambda: choose_cheapest,
-        "least outstanding": lambda: choose_least_outstanding,
-        "round robin": make_round_robin,
-    }
-    for load in parser.parse_args().load:
-        scenario = attrs.evolve(DESK_SCENARIO, load=load)
+    parser.add_argument("--load", type=float, nargs="*", default=[0.7, 1.0, 1.5, 3.0])
+    parser.add_argument("--seed", type=int, nargs="*", default=[1])
+    parser.add_argument("--crowd", type=float, help="the first zone's part of arrivals")
+    parser.add_argument("--scenario", choices=("desk", "uneven"), default="desk")
+    parser.add_argument("--before", help="a revision whose placing is compared")
+    options = parser.parse_args()
+    policies = {"cheapest": lambda: choose_cheapest}
+    if options.before:
+        before = load_placing(options.before)
+        policies["before"] = lambda: make_choice_before(before)
+    else:
+        policies["least outstanding"] = lambda: choose_least_outstanding
+        policies["round robin"] = make_round_robin
+    scenario = {"desk": DESK_SCENARIO, "uneven": UNEVEN_SCENARIO}[options.scenario]
+    if options.crowd:
+        weights = (options.crowd, (1 - options.crowd) / 2, (1 - options.crowd) / 2)
+        scenario = attrs.evolve(scenario, zone_weights=lambda now_s: weights)
+    for load in options.load:
+        scenario = attrs.evolve(scenario, load=load)
         print(
             f"load {load}: the slots can do "
             f"{compute_capacity_ratio(scenario):.2f} of the work"
         )
         for name, make_policy in policies.items():
-            result = simulate(scenario, make_policy())
-            ends = ", ".join(
-                f"{kind} {outcome} {count}"
-                for (kind, outcome), count in sorted(result.outcome_counts.items())
-            )
-            busy = (
-                result.busy_s
-                / scenario.length_s
-                / scenario.slots
-                / len(scenario.speeds)
-            )
-            cross_zone_mb = result.cross_zone_bytes / 1e6
-            print(
-                f"  {name:18} earned {result.earned_ratio:.3f} busy {busy:.2f} "
-                f"between zones {cross_zone_mb:.1f} MB | {ends}"
-            )
+            for seed in options.seed:
+                result = simulate(scenario, make_policy(), seed)
+                print(f"  {name:18} seed {seed} {summarize(result, scenario)}")
 
 
 if __name__ == "__main__":
