--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -123,6 +123,7 @@
     outbound = Outbound(context, state, links, new_retry_budget(deployment.bounds))
     meters = Meters()
     outbound.observe_outcome = meters.count_request
+    outbound.observe_placement = meters.count_placement
     return Node(
         context=context,
         state=state,
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -61,6 +61,8 @@
     CALL_ABANDONED = (410, "An inbound proxy ended a call whose caller disconnected.")
     REQUEST_HELD = (411, "A request is held back: upstreams end when they run it.")
     REQUEST_RELEASED = (412, "An operator ended the holding back of a request.")
+    SPILL_STARTED = (426, "Calls of a service began to leave their zone.")
+    SPILL_ENDED = (427, "Calls of a service stay in their zone again.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node stopped sending calls to the new version.")
     MOVE_FINISHED = (502, "A move was completed or reverted.")
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -17,6 +17,9 @@
 # Bounds the size of a scrape for any configuration; further routes share one label.
 MAX_ROUTES = 60
 OTHER_ROUTE = "other"
+# Bounds the size of a scrape where hosts name many zones.
+MAX_ZONES = 16
+OTHER_ZONE = "other"
 GAUGE_TEXTS = {
     "revision": "The configuration in force.",
     "slots_in_use": "Calls that this host's upstream runs.",
@@ -63,6 +66,7 @@
         requests: Callers' requests by route and outcome.
         request_durations: The time from a request to its answer, by outcome.
         store_calls: Calls to the store by path and result.
+        placements: Attempts by the availability zone in which they were placed.
         gauges: The present values, by name; set before each scrape.
         loop_lag: How late timers fired.
     """
@@ -70,6 +74,7 @@
     requests: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     request_durations: dict[str, Durations] = attrs.field(factory=dict)
     store_calls: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    placements: Counter[str] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(
         factory=lambda: dict.fromkeys(GAUGE_TEXTS, 0.0)
     )
@@ -87,6 +92,12 @@
         """Count one call to the store."""
         self.store_calls[call, result] += 1
 
+    def count_placement(self, zone: str) -> None:
+        """Count one attempt that is placed in an availability zone."""
+        if zone not in self.placements and len(self.placements) >= MAX_ZONES:
+            zone = OTHER_ZONE
+        self.placements[zone] += 1
+
     def collect(self) -> Iterator[Any]:
         """Return the metric families, as prometheus_client's collectors do."""
         from prometheus_client import core
@@ -115,6 +126,14 @@
         for labels, count in self.store_calls.items():
             store_calls.add_metric(labels, count)
         yield store_calls
+        placements = core.CounterMetricFamily(
+            "agaterelay_placements",
+            "Attempts by the availability zone in which they were placed.",
+            labels=["zone"],
+        )
+        for zone, count in self.placements.items():
+            placements.add_metric([zone], count)
+        yield placements
         for name, value in self.gauges.items():
             yield core.GaugeMetricFamily(f"agaterelay_{name}", GAUGE_TEXTS[name], value)
         yield core.HistogramMetricFamily(
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -15,6 +15,7 @@
 from agaterelay.core.retry_budget import RetryBudget
 from agaterelay.core.stopping import StopSchedule
 from agaterelay.core.weighted_round_robin import WeightedRoundRobin
+from agaterelay.core.zone_spill import ZoneSpill
 from agaterelay.mesh.link import Links
 from agaterelay.mesh.state import MeshState, NodeContext
 
@@ -65,12 +66,15 @@
         routes: The routes of each host, longest path prefix first.
         indexed_table: The route table from which ``routes`` was built.
         route_costs: Mean service time and answer size, by route.
+        spills: Whether calls may leave their availability zone, by service and
+            version.
         longest_wait_ms: The longest time that a caller has waited for, by route.
         stop: The schedule of the node's graceful stop, None while it serves.
         shutting_down: Whether attempts end because the process ends.
         attempt_timeouts: The timeouts of the attempts in flight.
         answered_count: The number of answered requests; selects those that are logged.
         observe_outcome: Called with route, outcome and elapsed seconds of each request.
+        observe_placement: Called with the zone in which each attempt is placed.
     """
 
     context: NodeContext
@@ -84,6 +88,7 @@
     indexed_table: RouteTable | None = None
     in_flight: int = 0
     route_costs: dict[str, RouteCosts] = attrs.field(factory=dict)
+    spills: dict[str, dict[str, ZoneSpill]] = attrs.field(factory=dict)
     longest_wait_ms: dict[str, int] = attrs.field(factory=dict)
     stop: StopSchedule | None = None
     shutting_down: bool = False
@@ -92,6 +97,7 @@
     observe_outcome: Callable[[str, str, float], None] = (
         lambda route, outcome, elapsed_s: None
     )
+    observe_placement: Callable[[str], None] = lambda zone: None
 
 
 @attrs.define
--- a/agaterelay/mesh/routing.py
+++ b/agaterelay/mesh/routing.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from agaterelay.core.membership import Member, UpstreamInfo
 from agaterelay.core.model import Route
-from agaterelay.core.placing import RouteCosts, expected_cost_ms, select_cheapest
+from agaterelay.core.placing import RouteCosts, expected_cost_ms
 from agaterelay.core.rendezvous import rank
 from agaterelay.core.trial import trial_share
 from agaterelay.core.weighted_round_robin import choose_next, make_weighted_round_robin
+from agaterelay.core.zone_spill import ZoneSpill, select_by_zone
+from agaterelay.events import EventKind
 from agaterelay.mesh.links import is_usable, load_of
 from agaterelay.mesh.request_state import Outbound, RequestState, TrialCounts
 from agaterelay.mesh.state import targets_of, versions_of
@@ -115,5 +119,54 @@
             now_s,
         )
 
-    chosen = select_cheapest(members, cost_ms, outbound.rng)
-    return (chosen, chosen.upstreams[0]) if chosen is not None else None
+    chosen = _select_by_zone(outbound, request_state, version, members, cost_ms, now_s)
+    if chosen is None:
+        return None
+    outbound.observe_placement(chosen.zone)
+    return chosen, chosen.upstreams[0]
+
+
+def _select_by_zone(
+    outbound: Outbound,
+    request_state: RequestState,
+    version: str,
+    members: list[Member],
+    cost_ms: Callable[[Member], float],
+    now_s: float,
+) -> Member | None:
+    """Return the member for an attempt, and log when the service's spillover changes."""
+    own_zone = outbound.state.own.zone
+    service = request_state.service
+    spill = _spill_of(outbound, service, version)
+    was_spilling = spill.spilling
+    chosen = select_by_zone(
+        spill,
+        [member for member in members if member.zone == own_zone],
+        [member for member in members if member.zone != own_zone],
+        cost_ms,
+        lambda member: load_of(outbound.links, member.host),
+        request_state.placements > 0,
+        now_s,
+        outbound.rng,
+    )
+    if spill.spilling != was_spilling:
+        started = spill.spilling
+        outbound.context.record(
+            EventKind.SPILL_STARTED if started else EventKind.SPILL_ENDED,
+            service=service,
+            version=version,
+            gain_ms=round(spill.gain_ms, 1),
+        )
+    return chosen
+
+
+def _spill_of(outbound: Outbound, service: str, version: str) -> ZoneSpill:
+    """Return the spillover of a version, without those of versions that are gone."""
+    spills = outbound.spills.setdefault(service, {})
+    spill = spills.get(version)
+    if spill is None:
+        present = {version, *versions_of(outbound.state, service)}
+        for gone in spills.keys() - present:
+            del spills[gone]
+        spill = spills[version] = ZoneSpill()
+    return spill
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -27,7 +27,6 @@
     expected_cost_ms,
     record_answer,
     record_load_report,
-    select_cheapest,
 )
 from agaterelay.core.rate_limit import update_rate
 from agaterelay.core.slot_queue import Granted, Queued, Refused, SlotQueue, Ticket
@@ -233,7 +232,7 @@
     ).stdout
     module = ModuleType("placing_before")
     sys.modules[module.__name__] = module
-    exec(compile(source, f"{revision}:placing.py", "exec"), module.__dict__)  # noqa: S102
+    exec(compile(source, f"{revision}:placing.py", "exec"), module.__dict__)
     return module
 
 
