--- a/agaterelay/core/placing.py
+++ b/agaterelay/core/placing.py
@@ -34,6 +34,8 @@
 # Reported calls of other nodes lose half of their weight in this time.
 REPORT_HALF_LIFE_S = 0.4
 INITIAL_SERVICE_TIME_MS = 60.0
+# Most calls take less than this many times the mean of their route.
+USEFUL_TIME_RATIO = 1.5
 # Smaller differences in cost are noise, so that the choice between them is random.
 MAX_NOISE_MS = 3.0
 ROUTE_SMOOTHING_RATIO = 0.03
@@ -159,6 +161,20 @@
     return cost_ms if same_zone else cost_ms + zone_penalty_ms(route.answer_bytes)
 
 
+def serves_in_useful_time(
+    load: TargetLoad, slots: int, route: RouteCosts, remaining_target_ms: float
+) -> bool:
+    """Return whether an upstream is expected to answer most calls within their target.
+
+    Only this node's own calls and the last report are counted, without their decay.
+    """
+    turn_ms = load.report.work_ms if load.report else INITIAL_SERVICE_TIME_MS
+    slots = max(slots, 1)
+    waiting = max(load.own + load.others_in_flight + 1 - slots, 0.0)
+    work_ms = USEFUL_TIME_RATIO * route.work_ms * load.slowness
+    return work_ms + waiting / slots * turn_ms <= remaining_target_ms
+
+
 def select_cheapest(
     targets: Iterable[Target],
     cost_of: Callable[[Target], float],
--- a/agaterelay/core/zone_spill.py
+++ b/agaterelay/core/zone_spill.py
@@ -5,8 +5,8 @@
 estimate of one moment is wrong. So calls leave only while the service spills: the gain in
 expected cost, less the price, has to hold over some time before it starts to spill, and
 has to be lost over some time before it ends. While it spills, a call leaves only if its
-own gain exceeds the price, so that the rest stays. A call that its own zone refused
-leaves at once.
+own gain exceeds the price, so that the rest stays. A call that its own zone refused, or
+that it isn't expected to serve in useful time, leaves at once.
 """
 
 from __future__ import annotations
@@ -99,6 +99,7 @@
     elsewhere: Sequence[Target],
     cost_of: Callable[[Target], float],
     load_of: Callable[[Target], TargetLoad],
+    in_useful_time: Callable[[Target], bool],
     refused: bool,
     now_s: float,
     rng: random.Random,
@@ -111,6 +112,7 @@
         elsewhere: Those of all other zones.
         cost_of: Returns the expected cost, with the price of another zone.
         load_of: Returns the known load of an upstream.
+        in_useful_time: Returns whether an upstream is expected to answer in time.
         refused: Whether an upstream refused the call already.
         now_s: The current time.
         rng: Breaks near ties.
@@ -127,4 +129,5 @@
     gain_ms = cost_of(near) - cost_of(far)
     if not refused:
         record_gain(spill, gain_ms, now_s)
-    return far if gain_ms > 0 and (spill.spilling or refused) else near
+    may_leave = spill.spilling or refused or not in_useful_time(near)
+    return far if gain_ms > 0 and may_leave else near
--- a/agaterelay/mesh/routing.py
+++ b/agaterelay/mesh/routing.py
@@ -6,7 +6,7 @@
 
 from agaterelay.core.membership import Member, UpstreamInfo
 from agaterelay.core.model import Route
-from agaterelay.core.placing import RouteCosts, expected_cost_ms
+from agaterelay.core.placing import RouteCosts, expected_cost_ms, serves_in_useful_time
 from agaterelay.core.rendezvous import rank
 from agaterelay.core.trial import trial_share
 from agaterelay.core.weighted_round_robin import choose_next, make_weighted_round_robin
@@ -132,6 +132,7 @@
     version: str,
     members: list[Member],
     cost_ms: Callable[[Member], float],
+    costs: RouteCosts,
     now_s: float,
 ) -> Member | None:
     """Return the member for an attempt, and log when the service's spillover changes."""
@@ -145,6 +146,12 @@
         [member for member in members if member.zone != own_zone],
         cost_ms,
         lambda member: load_of(outbound.links, member.host),
+        lambda member: serves_in_useful_time(
+            load_of(outbound.links, member.host),
+            member.upstreams[0].slots,
+            costs,
+            1000 * (request_state.target_s - now_s),
+        ),
         request_state.placements > 0,
         now_s,
         outbound.rng,
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -27,6 +27,7 @@
     expected_cost_ms,
     record_answer,
     record_load_report,
+    serves_in_useful_time,
 )
 from agaterelay.core.rate_limit import update_rate
 from agaterelay.core.slot_queue import Granted, Queued, Refused, SlotQueue, Ticket
@@ -192,6 +193,12 @@
             now_s,
         ),
         lambda index: outbound.loads[index],
+        lambda index: serves_in_useful_time(
+            outbound.loads[index],
+            inbounds[index].queue.slots,
+            route,
+            1000 * (request.started_s + request.kind.target_latency_s - now_s),
+        ),
         bool(request.tried),
         now_s,
         draw,
--- a/tests/core/test_zone_spill.py
+++ b/tests/core/test_zone_spill.py
@@ -57,6 +57,7 @@
     "crowd in all zones": attrs.evolve(UNEVEN_SCENARIO, load=1.5),
     "oscillating": attrs.evolve(UNEVEN_SCENARIO, load=0.8, zone_weights=swing),
     "one or two upstreams in a zone": attrs.evolve(DESK_SCENARIO, length_s=8.0),
+    "slow upstreams in a zone": attrs.evolve(DESK_SCENARIO, length_s=8.0, load=0.8),
     "no upstream in a zone": attrs.evolve(
         UNEVEN_SCENARIO, load=0.7, zones=(1, 1, 1, 1, 1, 1, 2, 2, 2, 2, 2, 2)
     ),
@@ -137,13 +138,14 @@
 def test_a_call_that_its_zone_refused_leaves_at_once():
     """Guards against refusals while another zone has room."""
 
-    def select(own_zone, refused):
+    def select(own_zone, refused, useful=True):
         return select_by_zone(
             ZoneSpill(updated_s=0.0),
             own_zone,
             ["far"],
             {"near": 300.0, "far": 60.0}.get,
             lambda target: TargetLoad(),
+            lambda target: useful,
             refused,
             0.0,
             random.Random(1),
@@ -151,4 +153,5 @@
 
     assert select(["near"], False) == "near"
     assert select(["near"], True) == "far"
+    assert select(["near"], False, useful=False) == "far"
     assert select([], False) == "far"
