--- a/tests/core/test_overload.py
+++ b/tests/core/test_overload.py
@@ -5,6 +5,7 @@
 
 from bench.placing import (
     DESK_SCENARIO,
+    UNEVEN_SCENARIO,
     choose_cheapest,
     choose_least_outstanding,
     compute_capacity_ratio,
@@ -74,3 +75,25 @@
     assert result.earned_ratio >= 0.9 * best_worth(rest)
     for baseline in (choose_least_outstanding, make_round_robin()):
         assert result.earned_ratio >= simulate(scene, baseline).earned_ratio - 0.005
+
+
+def test_uneven_upstreams_of_few_slots_earn_what_an_ideal_order_does():
+    """Guards against slots that stay idle, or serve late, at 1.5 times the load."""
+    scene = attrs.evolve(UNEVEN_SCENARIO, load=1.5)
+    seeds = (1, 2, 3)
+    earned = sum(simulate(scene, seed=seed).earned_ratio for seed in seeds)
+    assert earned / len(seeds) >= 0.95 * best_worth(scene)
+
+
+@pytest.mark.parametrize("load", [0.7, 1.0, 1.5, 3.0])
+def test_no_kind_of_request_starves_on_uneven_upstreams(load):
+    """Guards against a kind that other kinds keep from the slots."""
+    scene = attrs.evolve(UNEVEN_SCENARIO, load=load)
+    counts = simulate(scene).outcome_counts
+    ratios = []
+    for kind in scene.kinds:
+        ends = {
+            end: count for (name, end), count in counts.items() if name == kind.name
+        }
+        ratios.append(ends["in time"] / sum(ends.values()))
+    assert min(ratios) >= sum(ratios) / len(ratios) / 4
--- a/tests/mesh/test_meters.py
+++ b/tests/mesh/test_meters.py
@@ -2,7 +2,13 @@
 
 import re
 
-from agaterelay.mesh.meters import MAX_ROUTES, OTHER_ROUTE, Meters
+from agaterelay.mesh.meters import (
+    MAX_ROUTES,
+    MAX_ZONES,
+    OTHER_ROUTE,
+    OTHER_ZONE,
+    Meters,
+)
 
 
 def values_of(meters):
@@ -37,3 +43,13 @@
     assert len(re.findall("agaterelay_requests_total{", text)) == MAX_ROUTES + 1
     label = f'agaterelay_requests_total{{outcome="answered",route="{OTHER_ROUTE}"}}'
     assert values_of(meters)[label] == 10
+
+
+def test_placements_are_counted_by_zone_with_bounded_labels():
+    """Guards against a scrape that grows with the zones that hosts name."""
+    meters = Meters()
+    for number in range(MAX_ZONES + 5):
+        meters.count_placement(f"zone-{number}")
+    values = values_of(meters)
+    assert values['agaterelay_placements_total{zone="zone-0"}'] == 1
+    assert values[f'agaterelay_placements_total{{zone="{OTHER_ZONE}"}}'] == 5
