--- a/agaterelay/mesh/routing.py
+++ b/agaterelay/mesh/routing.py
@@ -119,7 +119,9 @@
             now_s,
         )
 
-    chosen = _select_by_zone(outbound, request_state, version, members, cost_ms, now_s)
+    chosen = _select_by_zone(
+        outbound, request_state, version, members, cost_ms, costs, now_s
+    )
     if chosen is None:
         return None
     outbound.observe_placement(chosen.zone)
