--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -159,6 +159,7 @@
     outbound.observe_outcome = meters.count_request
     outbound.observe_unidentified = meters.count_unidentified
     outbound.key_challenge = headers.KEY_CHALLENGE
+    outbound.observe_placement = meters.count_placement
     return Node(
         context=context,
         state=state,
--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -81,6 +81,8 @@
     GRANT_UNANSWERED = (419, "A host didn't answer for a grant; others are asked.")
     GRANTING_BEGAN = (420, "A node began to grant in another's place, or again.")
     GRANTS_DISCARDED = (421, "A node did not run for long; its buckets start anew.")
+    SPILL_STARTED = (426, "Calls of a service began to leave their zone.")
+    SPILL_ENDED = (427, "Calls of a service stay in their zone again.")
     MOVE_STEPPED = (500, "A move's share or state changed.")
     MOVE_BRAKED = (501, "This node stopped sending calls to the new version.")
     MOVE_FINISHED = (502, "A move was completed or reverted.")
--- a/agaterelay/mesh/meters.py
+++ b/agaterelay/mesh/meters.py
@@ -17,6 +17,9 @@
 # Bounds the size of a scrape for any configuration; further routes share one label.
 MAX_ROUTES = 60
 OTHER_ROUTE = "other"
+# Bounds the size of a scrape where hosts name many zones.
+MAX_ZONES = 16
+OTHER_ZONE = "other"
 GAUGE_TEXTS = {
     "revision": "The configuration in force.",
     "slots_in_use": "Calls that this host's upstream runs.",
@@ -70,6 +73,7 @@
         store_calls: Calls to the store by path and result.
         closed_for_room: Connections and results closed to make room, by cause.
         allotments: Grants, refusals, questions and loans of limited workspaces, by cause.
+        placements: Attempts by the availability zone in which they were placed.
         gauges: The present values, by name; set before each scrape.
         loop_lag: How late timers fired.
     """
@@ -80,6 +84,7 @@
     store_calls: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     closed_for_room: Counter[str] = attrs.field(factory=Counter)
     allotments: Counter[str] = attrs.field(factory=Counter)
+    placements: Counter[str] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(
         factory=lambda: dict.fromkeys(GAUGE_TEXTS, 0.0)
     )
@@ -101,6 +106,12 @@
         """Count one call to the store."""
         self.store_calls[call, result] += 1
 
+    def count_placement(self, zone: str) -> None:
+        """Count one attempt that is placed in an availability zone."""
+        if zone not in self.placements and len(self.placements) >= MAX_ZONES:
+            zone = OTHER_ZONE
+        self.placements[zone] += 1
+
     def collect(self) -> Iterator[Any]:
         """Return the metric families, as prometheus_client's collectors do."""
         from prometheus_client import core
@@ -153,6 +164,14 @@
         for cause, count in self.allotments.items():
             allotments.add_metric([cause], count)
         yield allotments
+        placements = core.CounterMetricFamily(
+            "agaterelay_placements",
+            "Attempts by the availability zone in which they were placed.",
+            labels=["zone"],
+        )
+        for zone, count in self.placements.items():
+            placements.add_metric([zone], count)
+        yield placements
         for name, value in self.gauges.items():
             yield core.GaugeMetricFamily(f"agaterelay_{name}", GAUGE_TEXTS[name], value)
         yield core.HistogramMetricFamily(
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -16,6 +16,7 @@
 from agaterelay.core.stopping import StopSchedule
 from agaterelay.core.weighted_round_robin import WeightedRoundRobin
 from agaterelay.core.workspaces import NO_CREDENTIAL, Credential
+from agaterelay.core.zone_spill import ZoneSpill
 from agaterelay.mesh.allotments import Allotments
 from agaterelay.mesh.link import Links
 from agaterelay.mesh.state import MeshState, NodeContext
@@ -76,6 +77,8 @@
         keys: The workspace of each key digest.
         indexed_workspaces: The workspaces from which ``keys`` was built.
         route_costs: Mean service time and answer size, by route.
+        spills: Whether calls may leave their availability zone, by service and
+            version.
         longest_wait_ms: The longest time that a caller has waited for, by route.
         stop: The schedule of the node's graceful stop, None while it serves.
         shutting_down: Whether attempts end because the process ends.
@@ -85,6 +88,7 @@
         observe_unidentified: Called with the cause of each refusal for want of a valid
             key.
         key_challenge: The headers of such a refusal.
+        observe_placement: Called with the zone in which each attempt is placed.
     """
 
     context: NodeContext
@@ -101,6 +105,7 @@
     indexed_workspaces: tuple[Workspace, ...] | None = None
     in_flight: int = 0
     route_costs: dict[str, RouteCosts] = attrs.field(factory=dict)
+    spills: dict[str, dict[str, ZoneSpill]] = attrs.field(factory=dict)
     longest_wait_ms: dict[str, int] = attrs.field(factory=dict)
     stop: StopSchedule | None = None
     shutting_down: bool = False
@@ -111,6 +116,7 @@
     )
     observe_unidentified: Callable[[str], None] = lambda cause: None
     key_challenge: tuple[tuple[str, str], ...] = ()
+    observe_placement: Callable[[str], None] = lambda zone: None
 
 
 @attrs.define
