Read the store's era, and keep what is known when it was restored

A store that comes back from an older copy gives versions out again. Its responses name an era; positions and row versions of a past one are dropped, and rows that the copy lacks are written again. Without the header nothing changes.

--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -59,6 +59,7 @@
 )
 from agaterelay.mesh.notifications import broadcast_frame
 from agaterelay.mesh.request_state import Outbound, Request
+from agaterelay.mesh.restored_store import admit_era
 from agaterelay.mesh.state import MeshState, NodeContext, revision_of
 from agaterelay.mesh.store_watch import (
     OperatorRowFormat,
@@ -119,6 +120,8 @@
     links = Links(context, state, inbound, apply_document)
     crashes.tell = partial(broadcast_frame, links)
     watch = StoreWatch(context, state, links, make_operator_format())
+    if store is not None:
+        store.admit_era = partial(admit_era, watch)
     inbound.on_leaving = partial(apply_leaving, watch, inbound)
     outbound = Outbound(context, state, links, new_retry_budget(deployment.bounds))
     meters = Meters()
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -13,9 +13,12 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from agaterelay.core.catch_up import record_held_revision
 from agaterelay.core.checked import DecodeError
 from agaterelay.core.feed_pacing import must_read_anew, transfer_s
+from agaterelay.core.store_era import order_number
 from agaterelay.events import EventKind
 from agaterelay.mesh.link import NEVER_S
 from agaterelay.mesh.links import refresh_links
@@ -34,6 +37,7 @@
     update_readers,
 )
 from agaterelay.mesh.revisions import cache_document
+from agaterelay.mesh.restored_store import check_stored_move, request_missing_rows
 from agaterelay.mesh.state import (
     apply_member,
     apply_move,
@@ -120,6 +124,9 @@
             apply_config(watch, row.value, "store")
         return
     order = watch.formats.decode_order(row)
+    if order is not None:
+        number = order_number(watch.state.store_era, order.number)
+        order = attrs.evolve(order, number=number)
     if order is not None and apply_order(watch.state, order):
         log_order(watch.context, order, "store")
         broadcast_revision(watch)
@@ -129,6 +136,7 @@
     now_s = watch.context.clock.monotonic_s()
     if row.key.startswith(MOVE_PREFIX) and not row.deleted:
         record = decode_move(load_row(row.value))
+        check_stored_move(watch.state, record, now_s)
         if apply_move(watch.state, record, now_s, stored=True):
             log_move(watch.context, record, "store")
             broadcast_revision(watch)
@@ -149,6 +157,7 @@
         refresh_links(watch.links)
         return
     watch.member_versions[host] = row.version
+    watch.missing_rows.discard(host)
     member = decode_member(load_row(row.value))
     if member.host != host:
         raise DecodeError(f"names the host {member.host}")
@@ -201,6 +210,7 @@
     """
     clock = watch.context.clock
     version: int | None = None
+    era = watch.state.store_era
     retry_s = 0.0
     needed_since_s: float | None = None
     while True:
@@ -217,6 +227,9 @@
         ):
             await clock.sleep(STANDBY_CHECK_PERIOD_S / 2)
             continue
+        if _is_other_era(watch, era):
+            # The position belongs to another line of versions.
+            version = None
         if version is not None and _is_left_behind(watch, table):
             version = None
         wait_s = long_poll_s(watch, table)
@@ -224,12 +237,12 @@
             # Answered at once if the store answers.
             wait_s = 0.0
         began_s = clock.monotonic_s()
+        # Whatever is read now belongs to this era, or is read again.
+        era = watch.state.store_era
         watch.answer_due_s[table] = began_s + wait_s + watch.answer_time.answer_s
         try:
             if version is None:
                 changes = await watch.context.store.read_table(table)
-                if table == FLEET_TABLE:
-                    _remove_missing_members(watch, changes)
             else:
                 changes = await _poll(watch, table, version, wait_s)
         except HistoryLostError:
@@ -246,6 +259,17 @@
             continue
         finally:
             del watch.answer_due_s[table]
+        if _is_other_era(watch, era):
+            version = None
+            continue
+        is_restored = version is None and table in watch.unread_tables
+        watch.unread_tables.discard(table)
+        era = watch.state.store_era
+        if version is None and table == FLEET_TABLE:
+            if is_restored:
+                request_missing_rows(watch, changes)
+            else:
+                _remove_missing_members(watch, changes)
         if record_store_recovered(watch, table) and is_relied_on(watch, table):
             renew_poll(watch, FLEET_TABLE)
         watch.followed.add(table)
@@ -266,6 +290,11 @@
             await clock.sleep(batch_delay_s)
 
 
+def _is_other_era(watch: StoreWatch, era: int | None) -> bool:
+    """Return whether the store was restored since it was in an era, None if unknown."""
+    return era is not None and watch.state.store_era != era
+
+
 async def _poll(watch: StoreWatch, table: str, version: int, wait_s: float) -> Changes:
     """Wait for a table's changes after a version.
 
--- a/agaterelay/mesh/member_rows.py
+++ b/agaterelay/mesh/member_rows.py
@@ -12,8 +12,9 @@
 from agaterelay.core.checked import DecodeError
 from agaterelay.core.rendezvous import rank
 from agaterelay.events import EventKind
-from agaterelay.mesh.notifications import broadcast_own_member
-from agaterelay.mesh.state import clear_derived_caches
+from agaterelay.mesh.links import refresh_links
+from agaterelay.mesh.notifications import broadcast_own_member, broadcast_to_zone
+from agaterelay.mesh.state import clear_derived_caches, remove_member
 from agaterelay.mesh.store_watch import (
     FLEET_TABLE,
     INITIAL_RETRY_DELAY_S,
@@ -120,12 +121,16 @@
     if value == watch.own_row_value:
         return True
     row = StoredRow(FLEET_TABLE, key, value, watch.own_row_version)
+    era = watch.state.store_era
     try:
         conflict = await watch.context.store.write([row])
     except PlatformError as error:
         record_store_lost(watch, "own row", str(error))
         return False
     record_store_recovered(watch, "own row")
+    if era is not None and watch.state.store_era != era:
+        # It is unknown whether the write took effect before the store was restored.
+        return False
     if conflict is None:
         # The feed delivers the new version.
         watch.own_row_value = value
@@ -161,10 +166,24 @@
             )
             if not gone or not watch.state.store_up or watch.state.stopping:
                 continue
-            if rank([own_host, *reachable], f"prune {host}")[0] == own_host:
+            if host in watch.missing_rows:
+                _remove_unwritten_member(watch, host)
+            elif rank([own_host, *reachable], f"prune {host}")[0] == own_host:
                 await _remove_member_row(watch, host)
 
 
+def _remove_unwritten_member(watch: StoreWatch, host: str) -> None:
+    """Remove a host that is gone, and whose row a restored store never had again."""
+    watch.missing_rows.discard(host)
+    held = watch.state.members.get(host)
+    if held is None:
+        return
+    broadcast_to_zone(watch.links, [], [(host, *held.pair)])
+    remove_member(watch.state, host, held.pair)
+    refresh_links(watch.links)
+    watch.context.record(EventKind.MEMBER_REMOVED, peer=host)
+
+
 async def _remove_member_row(watch: StoreWatch, host: str) -> None:
     version = watch.member_versions.get(host)
     if not version:
--- a/agaterelay/mesh/mover.py
+++ b/agaterelay/mesh/mover.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from functools import partial
 
@@ -44,6 +45,8 @@
 from agaterelay.ports import PlatformError, StoredRow
 
 STEP_PERIOD_S = 0.4
+# The feed brings a verdict that another host has written within a batch of changes.
+REWRITE_DELAY_S = 1.2
 RECENT_WINDOW_S = 3.0
 LARGE_FLEET_MOVER_COUNT = 3
 # A first write whose row versions are unknown conflicts and returns the versions.
@@ -61,13 +64,17 @@
 
 @attrs.define
 class Mover:
-    """The mover's state; ``versions`` holds the row versions as last read."""
+    """The mover's state.
+
+    ``versions`` holds the row versions as last read, in the era ``versions_era``.
+    """
 
     context: NodeContext
     state: MeshState
     links: Links
     formats: VerdictRowFormat
     versions: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    versions_era: int | None = None
 
 
 async def run_mover(mover: Mover) -> None:
@@ -83,6 +90,40 @@
                     f"move of {order.service}",
                     partial(step, mover, order),
                 )
+        for key in _due_rewrites(mover):
+            await await_step(
+                mover.context, f"move of {key[0]}", partial(rewrite, mover, key)
+            )
+
+
+def _due_rewrites(mover: Mover) -> list[tuple[str, str]]:
+    """Return the moves that this host has to write to a restored store.
+
+    The host that carries out the order begins, as the others may be spared the write.
+    """
+    state = mover.state
+    if not (state.unwritten_moves and state.watching):
+        return []
+    now_s = mover.context.clock.monotonic_s()
+    return [
+        key
+        for key, noticed_s in state.unwritten_moves.items()
+        if now_s - noticed_s >= REWRITE_DELAY_S * random.uniform(1, 2)
+    ]
+
+
+async def rewrite(mover: Mover, key: tuple[str, str]) -> None:
+    """Write a move's record, and its status row, as the store has lost them."""
+    record = mover.state.moves.get(key)
+    if record is None or await commit(mover, record):
+        mover.state.unwritten_moves.pop(key, None)
+    if record is not None and key not in mover.state.unwritten_moves:
+        mover.context.record(
+            EventKind.ROW_REWRITTEN,
+            service=record.service,
+            version=record.to_version,
+            state=str(record.state),
+        )
 
 
 def is_turn(mover: Mover, order: Order) -> bool:
@@ -180,21 +221,39 @@
     return [answer for answer in answers if answer is not None]
 
 
-async def commit(mover: Mover, record: MoveRecord) -> None:
-    """Write a move's state for the nodes and for the operator in one transaction."""
+async def commit(mover: Mover, record: MoveRecord) -> bool:
+    """Write a move's state for the nodes and for the operator in one transaction.
+
+    Returns:
+        Whether the store is known to hold this state or one that supersedes it.
+    """
+    state = mover.state
     for _ in range(MAX_WRITE_ATTEMPTS):
+        era = state.store_era
+        if mover.versions_era != era:
+            mover.versions.clear()
+            mover.versions_era = era
         try:
             conflict = await mover.context.store.write(_rows_of(mover, record))
         except PlatformError as error:
             mover.context.record(
                 EventKind.PLATFORM_LOST, table="move", reason=str(error)
             )
-            return
+            if record.is_final and era is not None:
+                key = (record.service, record.to_version)
+                now_s = mover.context.clock.monotonic_s()
+                state.unwritten_moves.setdefault(key, now_s)
+            return False
+        if era is not None and state.store_era != era:
+            # It is unknown whether the write took effect before the store was restored.
+            continue
         if conflict is None:
             _apply_record(mover, record)
-            return
+            state.unwritten_moves.pop((record.service, record.to_version), None)
+            return True
         if _apply_conflicting_rows(mover, record, conflict.rows):
-            return
+            return True
+    return False
 
 
 def _rows_of(mover: Mover, record: MoveRecord) -> list[StoredRow]:
@@ -202,7 +261,9 @@
     # There is one row for each version, so that a verdict outlives later orders.
     key = f"{MOVE_PREFIX}{record.service}/{record.to_version}"
     status = mover.formats.key(record.service)
-    return [
+    order = mover.state.orders.get(record.service)
+    is_current = order is None or order.to_version == record.to_version
+    rows = [
         StoredRow(
             FLEET_TABLE,
             key,
@@ -216,6 +277,8 @@
             mover.versions.get((mover.formats.table, status), 0),
         ),
     ]
+    # The operator reads one status a service, that of the newest order.
+    return rows if is_current else rows[:1]
 
 
 def _apply_conflicting_rows(
--- a/agaterelay/mesh/notifications.py
+++ b/agaterelay/mesh/notifications.py
@@ -99,6 +99,19 @@
             link.connection.send(frame)
 
 
+def tell_own_row_lost(links: Links, member: Member) -> bool:
+    """Tell a host that the store lacks its newest row; return whether it was linked."""
+    removed = [(member.host, *member.pair)]
+    frame = _build_news_frame(links, [], removed)
+    link = links.links.get(member.host)
+    if link is not None and link.connection is not None:
+        return link.connection.send(frame)
+    for connection in links.accepted:
+        if connection.host == member.host:
+            return connection.send(frame)
+    return False
+
+
 def _broadcast_news(
     links: Links,
     members: Iterable[Member],
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -11,12 +11,14 @@
 from agaterelay.core.fingerprint import fingerprint
 from agaterelay.core.membership import Member
 from agaterelay.core.model import MoveState, RouteTable
+from agaterelay.core.store_era import OrderMatch, match_orders
 from agaterelay.core.trial import MoveRecord, Order, choose_versions
 from agaterelay.ports import Clock, Store
 
 # Covers the hosts that a large fleet replaces in some days.
 MAX_TOMBSTONES = 512
 MAX_LEAVING_STARTS = 512
+MAX_PAST_ORDERS = 512
 
 
 @attrs.define
@@ -42,7 +44,10 @@
     that rely on readers. ``news`` is set when this host's row has to be written.
     ``leaving_starts`` are the starts of instances that have said in an answer to this
     node that they leave, which keeps it from using one whose own node has forgotten that.
-    ``tombstones`` holds the last incarnation and sequence of each removed host.
+    ``store_era`` is the highest era of the store received, None if it names none.
+    ``past_orders`` has the last number of each order that a later one replaced, and
+    ``unwritten_moves`` the moves whose records the store may have lost, with when this was
+    noticed. ``tombstones`` holds the last incarnation and sequence of each removed host.
     ``versions`` caches which version serves a service, and ``targets`` which hosts serve
     a version; both are cleared whenever members, orders or moves change, as is ``view``,
     the fingerprint of all member records together with the own one that it was made of.
@@ -64,6 +69,9 @@
     has_standbys: bool = False  # written by the feeds
     tombstones: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     leaving_starts: dict[tuple[str, int], None] = attrs.field(factory=dict)
+    store_era: int | None = None  # written by the feeds
+    past_orders: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    unwritten_moves: dict[tuple[str, str], float] = attrs.field(factory=dict)
     own_row_lost: bool = False  # written by the links, cleared by member_rows
     stopping: bool = False  # written by the node
     news: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -153,13 +161,65 @@
 def apply_order(state: MeshState, order: Order) -> bool:
     """Apply an operator's order; return whether it was newer than the one held."""
     held = state.orders.get(order.service)
+    key = (order.service, order.to_version)
+    if held is not None and held.to_version == order.to_version:
+        match = match_orders(held.number, order.number)
+        if match is OrderMatch.COPIED:
+            return _use_lower_number(state, held, order)
+        if match is OrderMatch.LATER_ERA:
+            # The operator has written it again: what is known of it stays true.
+            _renumber_move(state, order.service, held, order.number)
+    else:
+        known = _known_numbers(state, key)
+        if any(_is_copied(number, order.number) for number in known):
+            # The row of the copy stands for the order as it was numbered first.
+            order = attrs.evolve(order, number=min(*known, order.number))
     if held is not None and held.number >= order.number:
         return False
+    if held is not None:
+        state.past_orders[held.service, held.to_version] = held.number
+        while len(state.past_orders) > MAX_PAST_ORDERS:
+            del state.past_orders[next(iter(state.past_orders))]
     state.orders[order.service] = order
     clear_derived_caches(state)
     return True
 
 
+def _is_copied(held: int, received: int) -> bool:
+    return match_orders(held, received) is OrderMatch.COPIED
+
+
+def _known_numbers(state: MeshState, key: tuple[str, str]) -> list[int]:
+    """Return the numbers under which orders of a service and version are known."""
+    record, past = state.moves.get(key), state.past_orders.get(key)
+    numbers = [] if record is None else [record.number]
+    return numbers if past is None else [*numbers, past]
+
+
+def _use_lower_number(state: MeshState, held: Order, order: Order) -> bool:
+    """Hold an order by the number of the era in which it was written."""
+    if order.number > held.number:
+        return False
+    _renumber_move(state, held.service, held, order.number)
+    state.orders[held.service] = attrs.evolve(held, number=order.number)
+    clear_derived_caches(state)
+    return True
+
+
+def _renumber_move(state: MeshState, service: str, held: Order, number: int) -> None:
+    """Let what is known of an order's move belong to another number of that order."""
+    key = (service, held.to_version)
+    record = state.moves.get(key)
+    if record is not None and record.number == held.number:
+        state.moves[key] = attrs.evolve(record, number=number)
+    before = (service, held.number)
+    if before in state.trial_began_s:
+        state.trial_began_s[service, number] = state.trial_began_s.pop(before)
+    if before in state.braked:
+        state.braked.discard(before)
+        state.braked.add((service, number))
+
+
 def apply_move(
     state: MeshState, record: MoveRecord, now_s: float, stored: bool = False
 ) -> bool:
@@ -176,6 +236,17 @@
     """
     key = (record.service, record.to_version)
     held = state.moves.get(key)
+    if held is not None and held.number != record.number:
+        record = _match_record(state, held, record)
+        held = state.moves[key]
+    if held is None:
+        order = state.orders.get(record.service)
+        numbers = _known_numbers(state, key)
+        if order is not None and order.to_version == record.to_version:
+            numbers.append(order.number)
+        copied = [item for item in numbers if _is_copied(item, record.number)]
+        record = attrs.evolve(record, number=min([record.number, *copied]))
+    _align_order(state, record)
     if held is not None:
         if record.number < held.number or record == held:
             return False
@@ -183,12 +254,61 @@
             if not (stored and record.is_final):
                 return False
     state.moves[key] = record
+    if state.store_era is not None and record.is_final:
+        state.unwritten_moves.setdefault(key, now_s)
     if record.state is MoveState.STEPPING:
         state.trial_began_s.setdefault((record.service, record.number), now_s)
     clear_derived_caches(state)
     return True
 
 
+def _match_record(state: MeshState, held: MoveRecord, record: MoveRecord) -> MoveRecord:
+    """Return a record with the number that it has beside the one held.
+
+    The number of the held record is changed where that is the one to be replaced.
+    """
+    match = match_orders(held.number, record.number)
+    if match is OrderMatch.COPIED:
+        number = min(held.number, record.number)
+    elif match is OrderMatch.LATER_ERA and _is_current(state, held):
+        # The order was written again, and another node has begun it anew.
+        number = record.number
+    else:
+        return record
+    if held.number != number:
+        key = (held.service, held.to_version)
+        order = state.orders.get(held.service)
+        if order is not None and _is_current(state, held):
+            _renumber_move(state, held.service, order, number)
+            state.orders[held.service] = attrs.evolve(order, number=number)
+        else:
+            state.moves[key] = attrs.evolve(held, number=number)
+        clear_derived_caches(state)
+    return attrs.evolve(record, number=number)
+
+
+def _is_current(state: MeshState, record: MoveRecord) -> bool:
+    """Return whether a record belongs to the order that is held."""
+    order = state.orders.get(record.service)
+    return (
+        order is not None
+        and order.to_version == record.to_version
+        and order.number == record.number
+    )
+
+
+def _align_order(state: MeshState, record: MoveRecord) -> None:
+    """Hold an order by its record's number, if both come from one row."""
+    order = state.orders.get(record.service)
+    if (
+        order is not None
+        and order.to_version == record.to_version
+        and _is_copied(order.number, record.number)
+        and record.number < order.number
+    ):
+        _use_lower_number(state, order, attrs.evolve(order, number=record.number))
+
+
 def remove_member(state: MeshState, host: str, pair: tuple[int, int]) -> bool:
     """Remove a host whose row was removed; return whether it was a member.
 
--- a/agaterelay/mesh/store_watch.py
+++ b/agaterelay/mesh/store_watch.py
@@ -47,6 +47,8 @@
     all on the steady clock. ``open_polls`` are the time-outs of the open long polls, by which
     a poll is begun anew before its answer. ``call_s`` is how long the call took that was answered last,
     and ``answer_time`` what these calls say of the store.
+    ``unread_tables`` are those that have not been read since the store was restored, and
+    ``missing_rows`` the known hosts whose rows were not there then.
     ``read_s`` is when both tables had been read for the first time. ``leading`` is whether
     this node is the lead of a small zone, as logged last.
     """
@@ -66,6 +68,8 @@
     open_polls: dict[str, asyncio.Timeout] = attrs.field(factory=dict)
     call_s: dict[str, float] = attrs.field(factory=dict)
     answer_time: AnswerTime = attrs.field(factory=AnswerTime)
+    unread_tables: set[str] = attrs.field(factory=set)
+    missing_rows: set[str] = attrs.field(factory=set)
     read_s: float = NEVER_S
     leading: bool = False
 
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -23,6 +23,7 @@
 from agaterelay.core.model import MoveState
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
+from agaterelay.core.store_era import MAX_ORDER_NUMBER
 from agaterelay.core.trial import MoveRecord, Order, RouteTallies
 from agaterelay.mesh.inbound import CallResult
 
@@ -225,7 +226,7 @@
     return MoveRecord(
         check_name(service),
         check_name(to_version),
-        check_whole(order_number),
+        check_whole(order_number, most=MAX_ORDER_NUMBER),
         MoveState(state),
         check_text(reason),
     )
@@ -248,7 +249,7 @@
         check_name(service),
         check_name(to_version),
         check_number(duration_s),
-        check_whole(order_number),
+        check_whole(order_number, most=MAX_ORDER_NUMBER),
     )
 
 
--- a/agaterelay/platform/store.py
+++ b/agaterelay/platform/store.py
@@ -27,6 +27,7 @@
 from agaterelay.ports import (
     Changes,
     Conflict,
+    EraPassedError,
     HistoryLostError,
     PlatformError,
     StoredRow,
@@ -43,6 +44,10 @@
 # Larger tables are read page by page.
 PAGE_SIZE_ROWS = 500
 
+# Numbers the states of the store between two restores from a copy.
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 9
+
 Decoded = TypeVar("Decoded")
 
 
@@ -86,6 +91,15 @@
         raise PlatformError(f"unreadable answer: {error}") from error
 
 
+def _decode_era(response: ReceivedResponse) -> int | None:
+    """Return the era that a response names, None if it names no valid one."""
+    for name, value in response.headers:
+        if name.lower() == ERA_HEADER:
+            text = value.strip()
+            return int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else None
+    return None
+
+
 class StoreClient:
     """Client for the store, with one pool of connections per process."""
 
@@ -96,6 +110,8 @@
         self.count: Callable[[str, str], None] = lambda call, result: None
         # Called with the table of a read when a part of the answer has arrived.
         self.on_receiving: Callable[[str], None] = lambda table: None
+        # Called with the era of every response; returns whether it may be used.
+        self.admit_era: Callable[[int | None], bool] = lambda era: True
 
     async def open(self) -> None:
         """Prepare the pool without connecting."""
@@ -144,6 +160,9 @@
             self.count(path, type(error).__name__)
             raise PlatformError(f"{path}: {type(error).__name__} {error}") from error
         self.count(path, str(response.status))
+        era = _decode_era(response)
+        if not self.admit_era(era):
+            raise EraPassedError(f"{path}: the response is of the past era {era}")
         if response.status not in (200, 410, 412):
             raise PlatformError(f"{path}: status {response.status}")
         try:
--- a/agaterelay/ports.py
+++ b/agaterelay/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import datetime
 from typing import TYPE_CHECKING, Protocol
 
@@ -101,6 +101,10 @@
     """The store no longer has the changes since a version; reread the whole table."""
 
 
+class EraPassedError(PlatformError):
+    """A response comes from before the store was restored; it says nothing any more."""
+
+
 @attrs.frozen
 class StoredRow:
     """A row in a table of a store; ``version`` is 0 if the row does not exist."""
@@ -128,7 +132,15 @@
 
 
 class Store(Protocol):
-    """A store of tables of rows with conditional writes and change feeds."""
+    """A store of tables of rows with conditional writes and change feeds.
+
+    Attributes:
+        admit_era: Called with the era of each response, None if it names none, before
+            the response is used; returns whether the response may be used. Otherwise
+            the call raises ``EraPassedError``.
+    """
+
+    admit_era: Callable[[int | None], bool]
 
     async def read_table(self, table: str, first: str = "", end: str = "") -> Changes:
         """Return the rows of a table with keys from ``first`` to before ``end``.
--- a/standins/store.py
+++ b/standins/store.py
@@ -29,7 +29,8 @@
     ``down`` answers every request with 503, ``silent`` never answers, ``delay_s`` is added
     to every answer, ``lose_answers`` applies writes without answering, ``write_delay_s``
     applies a write only after this delay, if its condition still holds, without
-    answering, and ``feeds_miss_changes`` keeps all changes from feeds.
+    answering, ``late_answer_s`` is how long finished answers wait before they are sent,
+    also when the store is restored meanwhile, and ``feeds_miss_changes`` keeps all changes from feeds.
     """
 
     down: bool = False
@@ -37,6 +38,7 @@
     delay_s: float = 0.0
     lose_answers: bool = False
     write_delay_s: float = 0.0
+    late_answer_s: float = 0.0
     feeds_miss_changes: bool = False
 
 
@@ -44,13 +46,15 @@
 class StandInStore:
     """The rows of all tables, the log of changes, and the requested paths.
 
-    Feeds can start only at versions from ``compacted_version`` on.
+    Feeds can start only at versions from ``compacted_version`` on. ``era`` is the number
+    in the header ``Store-Era`` of all responses, which lack it while it is None.
     """
 
     rows: dict[tuple[str, str, str], dict[str, Any]] = attrs.field(factory=dict)
     log: list[dict[str, Any]] = attrs.field(factory=list)
     version: int = 0
     compacted_version: int = 0
+    era: int | None = None
     faults: Faults = attrs.field(factory=Faults)
     calls: list[str] = attrs.field(factory=list)
     changed: asyncio.Condition = attrs.field(factory=asyncio.Condition)
@@ -76,6 +80,28 @@
     store.compacted_version = store.version
 
 
+@attrs.frozen
+class Copy:
+    """The store's state at one moment."""
+
+    rows: dict[tuple[str, str, str], dict[str, Any]]
+    log: list[dict[str, Any]]
+    version: int
+
+
+def copy_store(store: StandInStore) -> Copy:
+    """Return a copy of the store's present state."""
+    return Copy(dict(store.rows), list(store.log), store.version)
+
+
+async def restore_store(store: StandInStore, copy: Copy) -> None:
+    """Go back to a copy and begin a new era; versions after it are given out again."""
+    store.rows, store.log = dict(copy.rows), list(copy.log)
+    store.version = copy.version
+    store.era = (store.era or 0) + 1
+    await _notify_feeds(store)
+
+
 def _key(entry: dict[str, Any]) -> tuple[str, str, str]:
     return (entry["table"], entry.get("part", ""), entry["key"])
 
@@ -161,7 +187,7 @@
     after = int(query["after"])
     deadline_s = time.monotonic() + min(int(query.get("waitMs", 0)), 30_000) / 1000
     while True:
-        if after < store.compacted_version:
+        if not store.compacted_version <= after <= store.version:
             return web.json_response({}, status=410)
         rows = [
             row
@@ -182,6 +208,14 @@
     """Return an HTTP server for a store."""
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        response = await respond(request)
+        if store.era is not None:
+            response.headers["Store-Era"] = str(store.era)
+        if store.faults.late_answer_s:
+            await asyncio.sleep(store.faults.late_answer_s)
+        return response
+
+    async def respond(request: web.BaseRequest) -> web.StreamResponse:
         store.calls.append(request.path)
         faults = store.faults
         if faults.silent:
--- a/tests/mesh/simulation.py
+++ b/tests/mesh/simulation.py
@@ -22,7 +22,13 @@
 from agaterelay.mesh.node import start_tasks
 from agaterelay.mesh.state import revision_of
 from agaterelay.mesh.store_watch import record_receiving
-from agaterelay.ports import Changes, HistoryLostError, PlatformError, StoredRow
+from agaterelay.ports import (
+    Changes,
+    EraPassedError,
+    HistoryLostError,
+    PlatformError,
+    StoredRow,
+)
 from tests.mesh.fleet import config, route
 
 LINK_LATENCY_S = 0.0015
@@ -188,6 +194,7 @@
     calls: list = attrs.field(factory=list)
     is_silent: bool = False
     cuts: int = 0
+    era: int | None = None
 
     def apply(self, row):
         self.version += 1
@@ -208,6 +215,7 @@
     line: Line
     silent: bool = False
     on_receiving: object = lambda table: None
+    admit_era: object = lambda era: True
 
     async def _begin(self, kind):
         self.rows.calls.append((kind, self.host))
@@ -220,6 +228,8 @@
         if self.rows.is_silent or self.rows.cuts != cuts_before:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.rows.after_s * random.uniform(0.97, 1.03))
+        if not self.admit_era(self.rows.era):
+            raise EraPassedError(table)
         left_bytes = sum(len(row.value) * 4 // 3 for row in found)
         while left_bytes > 0:
             segment_bytes = min(left_bytes, SEGMENT_BYTES)
