--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -36,8 +36,8 @@
     stand_in_wait_s,
     update_readers,
 )
-from agaterelay.mesh.revisions import cache_document
 from agaterelay.mesh.restored_store import check_stored_move, request_missing_rows
+from agaterelay.mesh.revisions import cache_document
 from agaterelay.mesh.state import (
     apply_member,
     apply_move,
@@ -136,10 +136,10 @@
     now_s = watch.context.clock.monotonic_s()
     if row.key.startswith(MOVE_PREFIX) and not row.deleted:
         record = decode_move(load_row(row.value))
-        check_stored_move(watch.state, record, now_s)
         if apply_move(watch.state, record, now_s, stored=True):
             log_move(watch.context, record, "store")
             broadcast_revision(watch)
+        check_stored_move(watch.state, record, now_s)
     if not row.key.startswith(MEMBER_PREFIX):
         return
     host = row.key.removeprefix(MEMBER_PREFIX)
@@ -210,7 +210,7 @@
     """
     clock = watch.context.clock
     version: int | None = None
-    era = watch.state.store_era
+    restores = watch.state.store_restores
     retry_s = 0.0
     needed_since_s: float | None = None
     while True:
@@ -227,7 +227,7 @@
         ):
             await clock.sleep(STANDBY_CHECK_PERIOD_S / 2)
             continue
-        if _is_other_era(watch, era):
+        if watch.state.store_restores != restores:
             # The position belongs to another line of versions.
             version = None
         if version is not None and _is_left_behind(watch, table):
@@ -237,8 +237,8 @@
             # Answered at once if the store answers.
             wait_s = 0.0
         began_s = clock.monotonic_s()
-        # Whatever is read now belongs to this era, or is read again.
-        era = watch.state.store_era
+        # What is read across a restore of the store is read again.
+        restores = watch.state.store_restores
         watch.answer_due_s[table] = began_s + wait_s + watch.answer_time.answer_s
         try:
             if version is None:
@@ -259,12 +259,11 @@
             continue
         finally:
             del watch.answer_due_s[table]
-        if _is_other_era(watch, era):
+        if watch.state.store_restores != restores:
             version = None
             continue
         is_restored = version is None and table in watch.unread_tables
         watch.unread_tables.discard(table)
-        era = watch.state.store_era
         if version is None and table == FLEET_TABLE:
             if is_restored:
                 request_missing_rows(watch, changes)
@@ -290,11 +289,6 @@
             await clock.sleep(batch_delay_s)
 
 
-def _is_other_era(watch: StoreWatch, era: int | None) -> bool:
-    """Return whether the store was restored since it was in an era, None if unknown."""
-    return era is not None and watch.state.store_era != era
-
-
 async def _poll(watch: StoreWatch, table: str, version: int, wait_s: float) -> Changes:
     """Wait for a table's changes after a version.
 
--- a/agaterelay/mesh/member_rows.py
+++ b/agaterelay/mesh/member_rows.py
@@ -121,14 +121,14 @@
     if value == watch.own_row_value:
         return True
     row = StoredRow(FLEET_TABLE, key, value, watch.own_row_version)
-    era = watch.state.store_era
+    restores = watch.state.store_restores
     try:
         conflict = await watch.context.store.write([row])
     except PlatformError as error:
         record_store_lost(watch, "own row", str(error))
         return False
     record_store_recovered(watch, "own row")
-    if era is not None and watch.state.store_era != era:
+    if watch.state.store_restores != restores:
         # It is unknown whether the write took effect before the store was restored.
         return False
     if conflict is None:
--- a/agaterelay/mesh/mover.py
+++ b/agaterelay/mesh/mover.py
@@ -20,6 +20,7 @@
 from agaterelay.core.checked import DecodeError
 from agaterelay.core.model import MoveState
 from agaterelay.core.rendezvous import rank
+from agaterelay.core.store_era import OrderMatch, match_orders
 from agaterelay.core.trial import (
     MoveRecord,
     Order,
@@ -51,6 +52,8 @@
 LARGE_FLEET_MOVER_COUNT = 3
 # A first write whose row versions are unknown conflicts and returns the versions.
 MAX_WRITE_ATTEMPTS = 3
+# How the number of a record may differ that belongs to the same order.
+REWRITTEN = (OrderMatch.COPIED, OrderMatch.LATER_ERA)
 
 
 @attrs.frozen
@@ -66,7 +69,8 @@
 class Mover:
     """The mover's state.
 
-    ``versions`` holds the row versions as last read, in the era ``versions_era``.
+    ``versions`` holds the row versions as last read, since the
+    store was restored ``versions_restores`` times.
     """
 
     context: NodeContext
@@ -74,7 +78,7 @@
     links: Links
     formats: VerdictRowFormat
     versions: dict[tuple[str, str], int] = attrs.field(factory=dict)
-    versions_era: int | None = None
+    versions_restores: int = 0
 
 
 async def run_mover(mover: Mover) -> None:
@@ -105,6 +109,8 @@
     if not (state.unwritten_moves and state.watching):
         return []
     now_s = mover.context.clock.monotonic_s()
+    for key, noticed_s in state.unwritten_moves.items():
+        state.unwritten_moves[key] = noticed_s or now_s
     return [
         key
         for key, noticed_s in state.unwritten_moves.items()
@@ -117,13 +123,6 @@
     record = mover.state.moves.get(key)
     if record is None or await commit(mover, record):
         mover.state.unwritten_moves.pop(key, None)
-    if record is not None and key not in mover.state.unwritten_moves:
-        mover.context.record(
-            EventKind.ROW_REWRITTEN,
-            service=record.service,
-            version=record.to_version,
-            state=str(record.state),
-        )
 
 
 def is_turn(mover: Mover, order: Order) -> bool:
@@ -159,7 +158,9 @@
     if record.is_final:
         return
     verdict = await evaluate_trial(mover, order)
-    if verdict is not None:
+    # The order may have got another number meanwhile.
+    record = mover.state.moves.get((order.service, order.to_version))
+    if verdict is not None and record is not None and not record.is_final:
         final = attrs.evolve(record, state=verdict.state, reason=verdict.reason)
         if verdict.state is MoveState.REVERTED:
             # Applied before the commit, so that nodes stop even if the store is down.
@@ -228,31 +229,41 @@
         Whether the store is known to hold this state or one that supersedes it.
     """
     state = mover.state
+    key = (record.service, record.to_version)
     for _ in range(MAX_WRITE_ATTEMPTS):
-        era = state.store_era
-        if mover.versions_era != era:
+        restores = state.store_restores
+        if mover.versions_restores != restores:
             mover.versions.clear()
-            mover.versions_era = era
+            mover.versions_restores = restores
         try:
             conflict = await mover.context.store.write(_rows_of(mover, record))
         except PlatformError as error:
             mover.context.record(
                 EventKind.PLATFORM_LOST, table="move", reason=str(error)
             )
-            if record.is_final and era is not None:
-                key = (record.service, record.to_version)
+            if record.is_final and state.store_era is not None:
                 now_s = mover.context.clock.monotonic_s()
                 state.unwritten_moves.setdefault(key, now_s)
             return False
-        if era is not None and state.store_era != era:
+        if state.store_restores != restores:
             # It is unknown whether the write took effect before the store was restored.
             continue
         if conflict is None:
             _apply_record(mover, record)
-            state.unwritten_moves.pop((record.service, record.to_version), None)
+            if state.unwritten_moves.pop(key, None) is not None:
+                mover.context.record(
+                    EventKind.ROW_REWRITTEN,
+                    service=record.service,
+                    version=record.to_version,
+                    state=str(record.state),
+                )
             return True
         if _apply_conflicting_rows(mover, record, conflict.rows):
             return True
+        held = state.moves.get(key)
+        if held is not None and match_orders(record.number, held.number) in REWRITTEN:
+            # The order was found to have another number; its state stays the same.
+            record = attrs.evolve(record, number=held.number)
     return False
 
 
@@ -298,12 +309,17 @@
                 EventKind.MOVE_SUPERSEDED, service=record.service, reason=str(error)
             )
             continue
-        older = stored_record.number < record.number
-        if older or (
-            stored_record.number == record.number and not stored_record.is_final
-        ):
-            continue
         now_s = mover.context.clock.monotonic_s()
+        match = match_orders(record.number, stored_record.number)
+        if match is OrderMatch.OLDER:
+            continue
+        if not stored_record.is_final:
+            if match in REWRITTEN:
+                apply_move(mover.state, stored_record, now_s, stored=True)
+            held = mover.state.moves.get((record.service, record.to_version))
+            renumbered = held is not None and held.is_final and match in REWRITTEN
+            if match in (OrderMatch.SAME, OrderMatch.COPIED) or renumbered:
+                continue
         apply_move(mover.state, stored_record, now_s, stored=True)
         mover.context.record(
             EventKind.MOVE_SUPERSEDED,
--- a/agaterelay/mesh/restored_store.py
+++ b/agaterelay/mesh/restored_store.py
@@ -39,6 +39,7 @@
         watch.unread_tables |= {watch.formats.table, FLEET_TABLE}
         for table in tuple(watch.open_polls):
             renew_poll(watch, table)
+        state.store_restores += 1
     state.store_era = era
     return True
 
@@ -75,7 +76,10 @@
 
 
 def check_stored_move(state: MeshState, stored: MoveRecord, now_s: float) -> None:
-    """Note whether the store has an older state of a move than this node.
+    """Note whether the store still has another state of a move than this node.
+
+    Called when the stored state has been applied, so that a difference means that the
+    store's is older.
 
     Does nothing with a store that names no eras.
     """
@@ -83,7 +87,7 @@
         return
     key = (stored.service, stored.to_version)
     held = state.moves.get(key)
-    if held is None or held == stored or stored.is_final:
+    if held is None or held == stored:
         state.unwritten_moves.pop(key, None)
-    elif held.is_final:
+    else:
         state.unwritten_moves.setdefault(key, now_s)
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -11,7 +11,7 @@
 from agaterelay.core.fingerprint import fingerprint
 from agaterelay.core.membership import Member
 from agaterelay.core.model import MoveState, RouteTable
-from agaterelay.core.store_era import OrderMatch, match_orders
+from agaterelay.core.store_era import OrderMatch, era_of, match_orders
 from agaterelay.core.trial import MoveRecord, Order, choose_versions
 from agaterelay.ports import Clock, Store
 
@@ -45,6 +45,8 @@
     ``leaving_starts`` are the starts of instances that have said in an answer to this
     node that they leave, which keeps it from using one whose own node has forgotten that.
     ``store_era`` is the highest era of the store received, None if it names none.
+    ``store_restores`` counts how often it rose. ``kept_orders`` has the last era in which an
+    order was found unchanged in the store, although it is of an earlier one.
     ``past_orders`` has the last number of each order that a later one replaced, and
     ``unwritten_moves`` the moves whose records the store may have lost, with when this was
     noticed. ``tombstones`` holds the last incarnation and sequence of each removed host.
@@ -70,6 +72,8 @@
     tombstones: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     leaving_starts: dict[tuple[str, int], None] = attrs.field(factory=dict)
     store_era: int | None = None  # written by the feeds
+    store_restores: int = 0  # written by the feeds
+    kept_orders: dict[tuple[str, str], int] = attrs.field(factory=dict)
     past_orders: dict[tuple[str, str], int] = attrs.field(factory=dict)
     unwritten_moves: dict[tuple[str, str], float] = attrs.field(factory=dict)
     own_row_lost: bool = False  # written by the links, cleared by member_rows
@@ -165,17 +169,21 @@
     if held is not None and held.to_version == order.to_version:
         match = match_orders(held.number, order.number)
         if match is OrderMatch.COPIED:
+            _keep_order(state, key, held.number, order.number)
             return _use_lower_number(state, held, order)
-        if match is OrderMatch.LATER_ERA:
-            # The operator has written it again: what is known of it stays true.
-            _renumber_move(state, order.service, held, order.number)
     else:
         known = _known_numbers(state, key)
-        if any(_is_copied(number, order.number) for number in known):
+        copied = [number for number in known if _is_copied(number, order.number)]
+        if copied:
+            _keep_order(state, key, *copied, order.number)
             # The row of the copy stands for the order as it was numbered first.
-            order = attrs.evolve(order, number=min(*known, order.number))
+            order = attrs.evolve(order, number=min(*copied, order.number))
     if held is not None and held.number >= order.number:
         return False
+    lost = _find_lost_number(state, order)
+    if lost is not None:
+        # The operator has written it again: what is known of it stays true.
+        _renumber_move(state, key, lost, order.number)
     if held is not None:
         state.past_orders[held.service, held.to_version] = held.number
         while len(state.past_orders) > MAX_PAST_ORDERS:
@@ -189,6 +197,40 @@
     return match_orders(held, received) is OrderMatch.COPIED
 
 
+def _keep_order(state: MeshState, key: tuple[str, str], *numbers: int) -> None:
+    """Record that the store still had an order in the latest era of its numbers."""
+    state.kept_orders[key] = max(state.kept_orders.get(key, 0), era_of(max(numbers)))
+    while len(state.kept_orders) > MAX_PAST_ORDERS:
+        del state.kept_orders[next(iter(state.kept_orders))]
+
+
+def _find_lost_number(state: MeshState, order: Order) -> int | None:
+    """Return under which number an order is known that was lost and written again.
+
+    Only the last order of a service can have been lost with its verdict; an earlier one
+    of the same version is long decided, and ordered anew.
+    """
+    era = era_of(order.number)
+    key = (order.service, order.to_version)
+    held = state.orders.get(order.service)
+    numbers = {
+        name: record.number
+        for name, record in state.moves.items()
+        if name[0] == order.service
+    }
+    for name, number in state.past_orders.items():
+        if name[0] == order.service:
+            numbers[name] = max(number, numbers.get(name, 0))
+    if held is not None:
+        name = (held.service, held.to_version)
+        numbers[name] = max(held.number, numbers.get(name, 0))
+    earlier = {name: item for name, item in numbers.items() if era_of(item) < era}
+    last = max(earlier, key=earlier.__getitem__, default=None)
+    if last != key or state.kept_orders.get(key) == era:
+        return None
+    return earlier[key]
+
+
 def _known_numbers(state: MeshState, key: tuple[str, str]) -> list[int]:
     """Return the numbers under which orders of a service and version are known."""
     record, past = state.moves.get(key), state.past_orders.get(key)
@@ -200,19 +242,24 @@
     """Hold an order by the number of the era in which it was written."""
     if order.number > held.number:
         return False
-    _renumber_move(state, held.service, held, order.number)
+    key = (held.service, held.to_version)
+    _renumber_move(state, key, held.number, order.number)
     state.orders[held.service] = attrs.evolve(held, number=order.number)
     clear_derived_caches(state)
     return True
 
 
-def _renumber_move(state: MeshState, service: str, held: Order, number: int) -> None:
+def _renumber_move(
+    state: MeshState, key: tuple[str, str], held_number: int, number: int
+) -> None:
     """Let what is known of an order's move belong to another number of that order."""
-    key = (service, held.to_version)
+    service = key[0]
     record = state.moves.get(key)
-    if record is not None and record.number == held.number:
+    if record is not None and record.number == held_number:
         state.moves[key] = attrs.evolve(record, number=number)
-    before = (service, held.number)
+        # The mover sets the time.
+        state.unwritten_moves.setdefault(key, 0.0)
+    before = (service, held_number)
     if before in state.trial_began_s:
         state.trial_began_s[service, number] = state.trial_began_s.pop(before)
     if before in state.braked:
@@ -270,7 +317,12 @@
     match = match_orders(held.number, record.number)
     if match is OrderMatch.COPIED:
         number = min(held.number, record.number)
-    elif match is OrderMatch.LATER_ERA and _is_current(state, held):
+    elif (
+        match is OrderMatch.LATER_ERA
+        and _is_current(state, held)
+        and state.kept_orders.get((held.service, held.to_version))
+        != era_of(record.number)
+    ):
         # The order was written again, and another node has begun it anew.
         number = record.number
     else:
@@ -279,7 +331,7 @@
         key = (held.service, held.to_version)
         order = state.orders.get(held.service)
         if order is not None and _is_current(state, held):
-            _renumber_move(state, held.service, order, number)
+            _renumber_move(state, key, order.number, number)
             state.orders[held.service] = attrs.evolve(order, number=number)
         else:
             state.moves[key] = attrs.evolve(held, number=number)
