--- a/agaterelay/events.py
+++ b/agaterelay/events.py
@@ -22,7 +22,7 @@
     PARTS_DAMAGED = (206, "A body does not match its digest; other sources are tried.")
     REVISION_REQUESTED = (207, "A node requested a newer revision from another one.")
     STORE_RESTORED = (208, "The store came back from an older copy; it is read anew.")
-    ROW_REWRITTEN = (209, "A row that the store had lost was written again.")
+    ROW_REWRITTEN = (209, "A move's state that the store had lost was written again.")
     PLATFORM_LOST = (210, "The platform does not respond.")
     PLATFORM_BACK = (211, "The platform responds again.")
     WATCH_CHANGED = (
--- a/agaterelay/mesh/member_rows.py
+++ b/agaterelay/mesh/member_rows.py
@@ -159,6 +159,8 @@
         links = watch.links.links
         reachable = [host for host, link in links.items() if link.usable]
         own_host = watch.state.own.host
+        if watch.state.store_up and not watch.state.stopping:
+            await _remove_revived_rows(watch, [own_host, *reachable])
         for host, link in tuple(links.items()):
             gone = (
                 link.connection is None
@@ -172,6 +174,15 @@
                 await _remove_member_row(watch, host)
 
 
+async def _remove_revived_rows(watch: StoreWatch, hosts: list[str]) -> None:
+    """Remove the rows of removed hosts that a restored store has again."""
+    for host in tuple(watch.revived_rows):
+        if host in watch.state.members or host not in watch.member_versions:
+            watch.revived_rows.discard(host)
+        elif rank(hosts, f"prune {host}")[0] == watch.state.own.host:
+            await _remove_member_row(watch, host)
+
+
 def _remove_unwritten_member(watch: StoreWatch, host: str) -> None:
     """Remove a host that is gone, and whose row a restored store never had again."""
     watch.missing_rows.discard(host)
--- a/agaterelay/mesh/mover.py
+++ b/agaterelay/mesh/mover.py
@@ -158,9 +158,11 @@
     if record.is_final:
         return
     verdict = await evaluate_trial(mover, order)
-    # The order may have got another number meanwhile.
-    record = mover.state.moves.get((order.service, order.to_version))
-    if verdict is not None and record is not None and not record.is_final:
+    if verdict is not None:
+        # The order may have got another number meanwhile.
+        held = mover.state.moves.get((order.service, order.to_version), record)
+        if match_orders(record.number, held.number) in REWRITTEN:
+            record = attrs.evolve(record, number=held.number)
         final = attrs.evolve(record, state=verdict.state, reason=verdict.reason)
         if verdict.state is MoveState.REVERTED:
             # Applied before the commit, so that nodes stop even if the store is down.
--- a/agaterelay/mesh/restored_store.py
+++ b/agaterelay/mesh/restored_store.py
@@ -53,6 +53,9 @@
     """
     state = watch.state
     values = {row.key: row.value for row in changes.rows}
+    for host, pair in state.tombstones.items():
+        if host not in state.members and _is_at_most(values, host, pair):
+            watch.revived_rows.add(host)
     for host, member in state.members.items():
         value = values.get(MEMBER_PREFIX + host)
         if value is None:
@@ -75,6 +78,17 @@
             state.unwritten_moves.setdefault((service, version), now_s)
 
 
+def _is_at_most(values: dict[str, bytes], host: str, pair: tuple[int, int]) -> bool:
+    """Return whether there is a row of a host that is not newer than a pair."""
+    value = values.get(MEMBER_PREFIX + host)
+    if value is None:
+        return False
+    try:
+        return decode_member(load_row(value)).pair <= pair
+    except DecodeError:
+        return False
+
+
 def check_stored_move(state: MeshState, stored: MoveRecord, now_s: float) -> None:
     """Note whether the store still has another state of a move than this node.
 
--- a/agaterelay/mesh/store_watch.py
+++ b/agaterelay/mesh/store_watch.py
@@ -48,7 +48,8 @@
     a poll is begun anew before its answer. ``call_s`` is how long the call took that was answered last,
     and ``answer_time`` what these calls say of the store.
     ``unread_tables`` are those that have not been read since the store was restored, and
-    ``missing_rows`` the known hosts whose rows were not there then.
+    ``missing_rows`` the known hosts whose rows were not there then, and ``revived_rows``
+    the removed hosts whose rows were there again.
     ``read_s`` is when both tables had been read for the first time. ``leading`` is whether
     this node is the lead of a small zone, as logged last.
     """
@@ -70,6 +71,7 @@
     answer_time: AnswerTime = attrs.field(factory=AnswerTime)
     unread_tables: set[str] = attrs.field(factory=set)
     missing_rows: set[str] = attrs.field(factory=set)
+    revived_rows: set[str] = attrs.field(factory=set)
     read_s: float = NEVER_S
     leading: bool = False
 
--- a/tests/mesh/simulation.py
+++ b/tests/mesh/simulation.py
@@ -196,6 +196,16 @@
     cuts: int = 0
     era: int | None = None
 
+    def copy(self):
+        return self.version, list(self.log), dict(self.held)
+
+    def restore(self, copy):
+        """Go back to a copy and begin a new era."""
+        self.version, self.log, self.held = copy[0], list(copy[1]), dict(copy[2])
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def apply(self, row):
         self.version += 1
         row = attrs.evolve(row, version=self.version)
@@ -271,7 +281,8 @@
         loop = asyncio.get_running_loop()
         oldest_s = loop.time() - rows.history_s
         lost = [row.version for at_s, row in rows.log if at_s < oldest_s]
-        if lost and after_version < lost[-1]:
+        is_unknown = rows.era is not None and after_version > rows.version
+        if is_unknown or (lost and after_version < lost[-1]):
             await self._end(table, (), timeout, cuts)
             raise HistoryLostError("the history is gone")
         deadline_s = loop.time() + wait_s
@@ -301,7 +312,10 @@
             *(attrs.evolve(item, deleted=True) for item in removes),
         ):
             self.rows.apply(row)
+        era = self.rows.era
         await asyncio.sleep(self.rows.after_s)
+        if not self.admit_era(era):
+            raise EraPassedError("write")
 
 
 @attrs.define
--- a/tests/mesh/test_store_era.py
+++ b/tests/mesh/test_store_era.py
@@ -4,12 +4,15 @@
 import itertools
 import json
 
+import attrs
 import pytest
 
+from agaterelay.core.membership import Member
 from agaterelay.core.model import MoveState
 from agaterelay.core.store_era import order_number
-from agaterelay.core.trial import MoveRecord, Order
-from agaterelay.mesh.state import apply_move, apply_order
+from agaterelay.core.trial import MoveRecord, Order, Verdict
+from agaterelay.mesh.member_rows import publish_own_member
+from agaterelay.mesh.state import MeshState, apply_move, apply_order
 from agaterelay.mesh.wire import decode_member, load_row
 from standins.instance import announce
 from standins.store import copy_store, put_row, restore_store, row_value
@@ -26,6 +29,7 @@
     start_node,
     wait_until,
 )
+from tests.mesh.simulation import Simulation, put_config, run_simulated, start_host
 from tests.mesh.test_moves import KEY, current_status
 
 TIMEOUT_S = 15.0
@@ -119,8 +123,6 @@
     verdicts = itertools.count()
 
     def judge(*evidence):
-        from agaterelay.core.trial import Verdict
-
         if not allowed.is_set():
             return None
         return Verdict(MoveState.REVERTED, f"verdict {next(verdicts)}")
@@ -205,7 +207,58 @@
 
 @pytest.fixture
 def mesh_state():
-    from agaterelay.core.membership import Member
-    from agaterelay.mesh.state import MeshState
-
     return MeshState(own=Member("10.0.0.1:1", "a", 1, 1))
+
+
+def test_a_late_write_of_the_old_era_is_replaced():
+    """Guards against a record of the old era that is applied late and stays."""
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            await hosts_with_era(fleet)
+            copy = copy_store(fleet.store)
+            host = fleet.hosts[0]
+            fleet.store.faults.write_delay_s = 1.0
+            await announce(host.instance, admin_address(host), "draining")
+            await asyncio.sleep(0.3)
+            await restore_store(fleet.store, copy)
+            fleet.store.faults.write_delay_s = 0.0
+            await wait_until(lambda: rows_are_current(fleet), TIMEOUT_S)
+            await asyncio.sleep(2.0)
+            assert rows_are_current(fleet)
+            assert stored_member(fleet, host).upstreams[0].draining
+
+    asyncio.run(scenario())
+
+
+def test_standbys_write_their_rows_again():
+    """Guards against lost rows of hosts that do not watch, and against their removal."""
+
+    async def scenario():
+        simulation = Simulation()
+        rows = simulation.rows
+        rows.era = 1
+        await put_config(simulation)
+        first = [await start_host(simulation, "a", number) for number in range(12)]
+        await asyncio.sleep(8)
+        assert sum(host.node.state.watching for host in first) < 12
+        copy = rows.copy()
+        for host in first[:6]:
+            state = host.node.state
+            state.own = attrs.evolve(state.own, sequence=state.own.sequence + 1)
+            publish_own_member(host.node.watch)
+        first += [await start_host(simulation, "a", number) for number in (20, 21)]
+        await asyncio.sleep(8)
+        rows.restore(copy)
+        fewest = 99
+        for _ in range(80):
+            await asyncio.sleep(0.1)
+            counts = [len(host.node.state.members) for host in first]
+            fewest = min(fewest, *counts)
+        assert fewest >= 13
+        for host in first:
+            own = host.node.state.own
+            row = rows.held["agaterelay", f"member/{own.host}"]
+            assert decode_member(load_row(row.value)) == own
+
+    run_simulated(scenario)
