--- a/tests/mesh/test_store_era.py
+++ b/tests/mesh/test_store_era.py
@@ -14,6 +14,7 @@
 from agaterelay.mesh.member_rows import publish_own_member
 from agaterelay.mesh.state import MeshState, apply_move, apply_order
 from agaterelay.mesh.wire import decode_member, load_row
+from agaterelay.ports import EraPassedError
 from standins.instance import announce
 from standins.store import copy_store, put_row, restore_store, row_value
 from tests.mesh.fleet import (
@@ -262,3 +263,67 @@
             assert decode_member(load_row(row.value)) == own
 
     run_simulated(scenario)
+
+
+def test_a_write_that_was_answered_late_is_done_again():
+    """Guards against a lost row that counts as stored, since the old era confirmed it."""
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            await hosts_with_era(fleet)
+            copy = copy_store(fleet.store)
+            host = fleet.hosts[0]
+            fleet.store.faults.late_answer_s = 1.0
+            await announce(host.instance, admin_address(host), "draining")
+            await wait_until(lambda: stored_member(fleet, host).upstreams[0].draining)
+            fleet.store.faults.late_answer_s = 0.0
+            await restore_store(fleet.store, copy)
+            await put_row(fleet.store, "agaterelay", "note", b"")
+            await put_row(fleet.store, "op", "note", b"")
+            await asyncio.sleep(1.5)
+            await wait_until(lambda: rows_are_current(fleet), TIMEOUT_S)
+            assert stored_member(fleet, host).upstreams[0].draining
+            await asyncio.sleep(1.0)
+            assert rows_are_current(fleet)
+
+    asyncio.run(scenario())
+
+
+def test_a_response_of_a_past_era_is_refused():
+    """Guards against an old state that is taken for news, and a header that is odd."""
+
+    async def scenario():
+        async with running_fleet(("desk",)) as fleet:
+            await hosts_with_era(fleet)
+            store = fleet.hosts[0].store
+            await restore_store(fleet.store, copy_store(fleet.store))
+            await store.read_table("op")
+            assert fleet.hosts[0].node.state.store_era == 2
+            fleet.store.era = 1
+            with pytest.raises(EraPassedError):
+                await store.read_table("op")
+            for odd in ("", "x", "-4", "9" * 12, "99999999", "\u00b2"):
+                fleet.store.era = odd
+                await store.read_table("op")
+            fleet.store.era = None
+            await store.read_table("op")
+            assert fleet.hosts[0].node.state.store_era == 2
+
+    asyncio.run(scenario())
+
+
+def test_without_eras_no_call_is_added():
+    """Guards against calls to the store that the header's absence should not cost."""
+
+    async def scenario():
+        async with running_fleet() as fleet:
+            await wait_until(lambda: rows_are_current(fleet), TIMEOUT_S)
+            await asyncio.sleep(1.5)
+            calls_before = len(fleet.store.calls)
+            await asyncio.sleep(3.0)
+            state = fleet.hosts[0].node.state
+            assert "/v1/rows-tx" not in fleet.store.calls[calls_before:]
+            assert (state.store_era, state.store_restores) == (None, 0)
+            assert not state.unwritten_moves
+
+    asyncio.run(scenario())
