--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -74,6 +74,7 @@
     hold_response,
     record_crowded,
 )
+from agaterelay.mesh.restored_store import admit_era
 from agaterelay.mesh.state import MeshState, NodeContext, cold_limit_of, revision_of
 from agaterelay.mesh.store_watch import (
     OperatorRowFormat,
@@ -148,6 +149,8 @@
     )
     crashes.tell = partial(broadcast_frame, links)
     watch = StoreWatch(context, state, links, make_operator_format())
+    if store is not None:
+        store.admit_era = partial(admit_era, watch)
     inbound.on_leaving = partial(apply_leaving, watch, inbound)
     meters = Meters()
     allotments = Allotments(context, links, counts=meters.allotments)
--- a/agaterelay/mesh/feeds.py
+++ b/agaterelay/mesh/feeds.py
@@ -13,10 +13,13 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from agaterelay.core.catch_up import record_held_revision
 from agaterelay.core.checked import DecodeError
 from agaterelay.core.evacuation import find_missed_ends
 from agaterelay.core.feed_pacing import must_read_anew, transfer_s
+from agaterelay.core.store_era import order_number
 from agaterelay.events import EventKind
 from agaterelay.mesh.link import NEVER_S
 from agaterelay.mesh.links import refresh_links
@@ -34,6 +37,7 @@
     stand_in_wait_s,
     update_readers,
 )
+from agaterelay.mesh.restored_store import check_stored_move, request_missing_rows
 from agaterelay.mesh.revisions import cache_document
 from agaterelay.mesh.state import (
     apply_member,
@@ -122,10 +126,15 @@
         return
     evacuation = watch.formats.decode_evacuation(row)
     if evacuation is not None:
+        number = order_number(watch.state.store_era, evacuation.number)
+        evacuation = attrs.evolve(evacuation, number=number)
         if change_evacuation(watch.links, evacuation, "store"):
             broadcast_revision(watch)
         return
     order = watch.formats.decode_order(row)
+    if order is not None:
+        number = order_number(watch.state.store_era, order.number)
+        order = attrs.evolve(order, number=number)
     if order is not None and apply_order(watch.state, order):
         log_order(watch.context, order, "store")
         broadcast_revision(watch)
@@ -138,6 +147,7 @@
         if apply_move(watch.state, record, now_s, stored=True):
             log_move(watch.context, record, "store")
             broadcast_revision(watch)
+        check_stored_move(watch.state, record, now_s)
     if not row.key.startswith(MEMBER_PREFIX):
         return
     host = row.key.removeprefix(MEMBER_PREFIX)
@@ -155,6 +165,7 @@
         refresh_links(watch.links)
         return
     watch.member_versions[host] = row.version
+    watch.missing_rows.discard(host)
     member = decode_member(load_row(row.value))
     if member.host != host:
         raise DecodeError(f"names the host {member.host}")
@@ -207,6 +218,7 @@
     """
     clock = watch.context.clock
     version: int | None = None
+    restores = watch.state.store_restores
     retry_s = 0.0
     needed_since_s: float | None = None
     while True:
@@ -223,6 +235,9 @@
         ):
             await clock.sleep(STANDBY_CHECK_PERIOD_S / 2)
             continue
+        if watch.state.store_restores != restores:
+            # The position belongs to another line of versions.
+            version = None
         if version is not None and _is_left_behind(watch, table):
             version = None
         wait_s = long_poll_s(watch, table)
@@ -230,14 +245,12 @@
             # Answered at once if the store answers.
             wait_s = 0.0
         began_s = clock.monotonic_s()
+        # What is read across a restore of the store is read again.
+        restores = watch.state.store_restores
         watch.answer_due_s[table] = began_s + wait_s + watch.answer_time.answer_s
         try:
             if version is None:
                 changes = await watch.context.store.read_table(table)
-                if table == FLEET_TABLE:
-                    _remove_missing_members(watch, changes)
-                else:
-                    _end_missing_evacuations(watch, changes)
             else:
                 changes = await _poll(watch, table, version, wait_s)
         except HistoryLostError:
@@ -254,6 +267,19 @@
             continue
         finally:
             del watch.answer_due_s[table]
+        if watch.state.store_restores != restores:
+            version = None
+            continue
+        is_restored = version is None and table in watch.unread_tables
+        watch.unread_tables.discard(table)
+        if version is None and table == FLEET_TABLE:
+            if is_restored:
+                request_missing_rows(watch, changes)
+            else:
+                _remove_missing_members(watch, changes)
+        elif version is None and not is_restored:
+            # A restored store may lack a row that the operator will write again.
+            _end_missing_evacuations(watch, changes)
         if record_store_recovered(watch, table) and is_relied_on(watch, table):
             renew_poll(watch, FLEET_TABLE)
         watch.followed.add(table)
@@ -325,7 +351,8 @@
         return
     read = map(watch.formats.decode_evacuation, changes.rows)
     present = [item.zone for item in read if item is not None and item.is_ordered]
-    for evacuation in find_missed_ends(held, present, changes.version):
+    number = order_number(watch.state.store_era, changes.version)
+    for evacuation in find_missed_ends(held, present, number):
         if change_evacuation(watch.links, evacuation, "store"):
             broadcast_revision(watch)
 
--- a/agaterelay/mesh/mover.py
+++ b/agaterelay/mesh/mover.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from functools import partial
 
@@ -19,6 +20,7 @@
 from agaterelay.core.checked import DecodeError
 from agaterelay.core.model import MoveState
 from agaterelay.core.rendezvous import rank
+from agaterelay.core.store_era import OrderMatch, match_orders
 from agaterelay.core.trial import (
     MoveRecord,
     Order,
@@ -44,10 +46,14 @@
 from agaterelay.ports import PlatformError, StoredRow
 
 STEP_PERIOD_S = 0.4
+# The feed brings a verdict that another host has written within a batch of changes.
+REWRITE_DELAY_S = 1.2
 RECENT_WINDOW_S = 3.0
 LARGE_FLEET_MOVER_COUNT = 3
 # A first write whose row versions are unknown conflicts and returns the versions.
 MAX_WRITE_ATTEMPTS = 3
+# How the number of a record may differ that belongs to the same order.
+REWRITTEN = (OrderMatch.COPIED, OrderMatch.LATER_ERA)
 
 
 @attrs.frozen
@@ -61,13 +67,18 @@
 
 @attrs.define
 class Mover:
-    """The mover's state; ``versions`` holds the row versions as last read."""
+    """The mover's state.
+
+    ``versions`` holds the row versions as last read, since the
+    store was restored ``versions_restores`` times.
+    """
 
     context: NodeContext
     state: MeshState
     links: Links
     formats: VerdictRowFormat
     versions: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    versions_restores: int = 0
 
 
 async def run_mover(mover: Mover) -> None:
@@ -83,6 +94,35 @@
                     f"move of {order.service}",
                     partial(step, mover, order),
                 )
+        for key in _due_rewrites(mover):
+            await await_step(
+                mover.context, f"move of {key[0]}", partial(rewrite, mover, key)
+            )
+
+
+def _due_rewrites(mover: Mover) -> list[tuple[str, str]]:
+    """Return the moves that this host has to write to a restored store.
+
+    The host that carries out the order begins, as the others may be spared the write.
+    """
+    state = mover.state
+    if not (state.unwritten_moves and state.watching):
+        return []
+    now_s = mover.context.clock.monotonic_s()
+    for key, noticed_s in state.unwritten_moves.items():
+        state.unwritten_moves[key] = noticed_s or now_s
+    return [
+        key
+        for key, noticed_s in state.unwritten_moves.items()
+        if now_s - noticed_s >= REWRITE_DELAY_S * random.uniform(1, 2)
+    ]
+
+
+async def rewrite(mover: Mover, key: tuple[str, str]) -> None:
+    """Write a move's record, and its status row, as the store has lost them."""
+    record = mover.state.moves.get(key)
+    if record is None or await commit(mover, record):
+        mover.state.unwritten_moves.pop(key, None)
 
 
 def is_turn(mover: Mover, order: Order) -> bool:
@@ -119,6 +159,10 @@
         return
     verdict = await evaluate_trial(mover, order)
     if verdict is not None:
+        # The order may have got another number meanwhile.
+        held = mover.state.moves.get((order.service, order.to_version), record)
+        if match_orders(record.number, held.number) in REWRITTEN:
+            record = attrs.evolve(record, number=held.number)
         final = attrs.evolve(record, state=verdict.state, reason=verdict.reason)
         if verdict.state is MoveState.REVERTED:
             # Applied before the commit, so that nodes stop even if the store is down.
@@ -180,21 +224,49 @@
     return [answer for answer in answers if answer is not None]
 
 
-async def commit(mover: Mover, record: MoveRecord) -> None:
-    """Write a move's state for the nodes and for the operator in one transaction."""
+async def commit(mover: Mover, record: MoveRecord) -> bool:
+    """Write a move's state for the nodes and for the operator in one transaction.
+
+    Returns:
+        Whether the store is known to hold this state or one that supersedes it.
+    """
+    state = mover.state
+    key = (record.service, record.to_version)
     for _ in range(MAX_WRITE_ATTEMPTS):
+        restores = state.store_restores
+        if mover.versions_restores != restores:
+            mover.versions.clear()
+            mover.versions_restores = restores
         try:
             conflict = await mover.context.store.write(_rows_of(mover, record))
         except PlatformError as error:
             mover.context.record(
                 EventKind.PLATFORM_LOST, table="move", reason=str(error)
             )
-            return
+            if record.is_final and state.store_era is not None:
+                now_s = mover.context.clock.monotonic_s()
+                state.unwritten_moves.setdefault(key, now_s)
+            return False
+        if state.store_restores != restores:
+            # It is unknown whether the write took effect before the store was restored.
+            continue
         if conflict is None:
             _apply_record(mover, record)
-            return
+            if state.unwritten_moves.pop(key, None) is not None:
+                mover.context.record(
+                    EventKind.ROW_REWRITTEN,
+                    service=record.service,
+                    version=record.to_version,
+                    state=str(record.state),
+                )
+            return True
         if _apply_conflicting_rows(mover, record, conflict.rows):
-            return
+            return True
+        held = state.moves.get(key)
+        if held is not None and match_orders(record.number, held.number) in REWRITTEN:
+            # The order was found to have another number; its state stays the same.
+            record = attrs.evolve(record, number=held.number)
+    return False
 
 
 def _rows_of(mover: Mover, record: MoveRecord) -> list[StoredRow]:
@@ -202,7 +274,9 @@
     # There is one row for each version, so that a verdict outlives later orders.
     key = f"{MOVE_PREFIX}{record.service}/{record.to_version}"
     status = mover.formats.key(record.service)
-    return [
+    order = mover.state.orders.get(record.service)
+    is_current = order is None or order.to_version == record.to_version
+    rows = [
         StoredRow(
             FLEET_TABLE,
             key,
@@ -216,6 +290,8 @@
             mover.versions.get((mover.formats.table, status), 0),
         ),
     ]
+    # The operator reads one status a service, that of the newest order.
+    return rows if is_current else rows[:1]
 
 
 def _apply_conflicting_rows(
@@ -235,12 +311,17 @@
                 EventKind.MOVE_SUPERSEDED, service=record.service, reason=str(error)
             )
             continue
-        older = stored_record.number < record.number
-        if older or (
-            stored_record.number == record.number and not stored_record.is_final
-        ):
-            continue
         now_s = mover.context.clock.monotonic_s()
+        match = match_orders(record.number, stored_record.number)
+        if match is OrderMatch.OLDER:
+            continue
+        if not stored_record.is_final:
+            if match in REWRITTEN:
+                apply_move(mover.state, stored_record, now_s, stored=True)
+            held = mover.state.moves.get((record.service, record.to_version))
+            renumbered = held is not None and held.is_final and match in REWRITTEN
+            if match in (OrderMatch.SAME, OrderMatch.COPIED) or renumbered:
+                continue
         apply_move(mover.state, stored_record, now_s, stored=True)
         mover.context.record(
             EventKind.MOVE_SUPERSEDED,
--- a/agaterelay/mesh/wire.py
+++ b/agaterelay/mesh/wire.py
@@ -24,6 +24,7 @@
 from agaterelay.core.model import MoveState
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 from agaterelay.core.placing import LoadReport
+from agaterelay.core.store_era import MAX_ORDER_NUMBER
 from agaterelay.core.trial import MoveRecord, Order, RouteTallies
 from agaterelay.mesh.inbound import CallResult
 
@@ -228,7 +229,7 @@
     return MoveRecord(
         check_name(service),
         check_name(to_version),
-        check_whole(order_number),
+        check_whole(order_number, most=MAX_ORDER_NUMBER),
         MoveState(state),
         check_text(reason),
     )
@@ -251,7 +252,7 @@
         check_name(service),
         check_name(to_version),
         check_number(duration_s),
-        check_whole(order_number),
+        check_whole(order_number, most=MAX_ORDER_NUMBER),
     )
 
 
@@ -268,7 +269,11 @@
         DecodeError: The message is not the state of an evacuation.
     """
     zone, number, is_ordered = encoded
-    return Evacuation(check_name(zone), check_whole(number), check_flag(is_ordered))
+    return Evacuation(
+        check_name(zone),
+        check_whole(number, most=MAX_ORDER_NUMBER),
+        check_flag(is_ordered),
+    )
 
 
 def encode_tallies(tallies: RouteTallies) -> dict[str, list[Any]]:
--- a/tests/mesh/simulation.py
+++ b/tests/mesh/simulation.py
@@ -22,7 +22,13 @@
 from agaterelay.mesh.node import start_tasks
 from agaterelay.mesh.state import revision_of
 from agaterelay.mesh.store_watch import record_receiving
-from agaterelay.ports import Changes, HistoryLostError, PlatformError, StoredRow
+from agaterelay.ports import (
+    Changes,
+    EraPassedError,
+    HistoryLostError,
+    PlatformError,
+    StoredRow,
+)
 from tests.mesh.fleet import config, route
 
 LINK_LATENCY_S = 0.0015
@@ -188,6 +194,17 @@
     calls: list = attrs.field(factory=list)
     is_silent: bool = False
     cuts: int = 0
+    era: int | None = None
+
+    def copy(self):
+        return self.version, list(self.log), dict(self.held)
+
+    def restore(self, copy):
+        """Go back to a copy and begin a new era."""
+        self.version, self.log, self.held = copy[0], list(copy[1]), dict(copy[2])
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def apply(self, row):
         self.version += 1
@@ -208,6 +225,7 @@
     line: Line
     silent: bool = False
     on_receiving: object = lambda table: None
+    admit_era: object = lambda era: True
 
     async def _begin(self, kind):
         self.rows.calls.append((kind, self.host))
@@ -220,6 +238,8 @@
         if self.rows.is_silent or self.rows.cuts != cuts_before:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.rows.after_s * random.uniform(0.97, 1.03))
+        if not self.admit_era(self.rows.era):
+            raise EraPassedError(table)
         left_bytes = sum(len(row.value) * 4 // 3 for row in found)
         while left_bytes > 0:
             segment_bytes = min(left_bytes, SEGMENT_BYTES)
@@ -261,7 +281,8 @@
         loop = asyncio.get_running_loop()
         oldest_s = loop.time() - rows.history_s
         lost = [row.version for at_s, row in rows.log if at_s < oldest_s]
-        if lost and after_version < lost[-1]:
+        is_unknown = rows.era is not None and after_version > rows.version
+        if is_unknown or (lost and after_version < lost[-1]):
             await self._end(table, (), timeout, cuts)
             raise HistoryLostError("the history is gone")
         deadline_s = loop.time() + wait_s
@@ -291,7 +312,10 @@
             *(attrs.evolve(item, deleted=True) for item in removes),
         ):
             self.rows.apply(row)
+        era = self.rows.era
         await asyncio.sleep(self.rows.after_s)
+        if not self.admit_era(era):
+            raise EraPassedError("write")
 
 
 @attrs.define
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -9,7 +9,7 @@
 from agaterelay.mesh import notifications
 from agaterelay.ports import StoredRow
 from standins.instance import announce
-from standins.store import compact_history, put_row
+from standins.store import compact_history, copy_store, put_row, restore_store
 from tests.mesh import simulation
 from tests.mesh.fleet import (
     admin_address,
@@ -174,3 +174,32 @@
             assert hello_after[11:] == news_after[8:] == encoded
 
     asyncio.run(scenario())
+
+
+def test_a_restored_store_without_the_row_does_not_end_an_evacuation():
+    """Guards against calls to a zone before the operator has written its row again."""
+
+    async def scenario():
+        async with running_fleet(zones="ab") as fleet:
+            fleet.store.era = 1
+            await put_row(fleet.store, "op", "note", b"")
+            states = [host.node.state for host in fleet.hosts]
+            await wait_until(lambda: all(state.store_era == 1 for state in states))
+            copy = copy_store(fleet.store)
+            await put_row(fleet.store, "op", KEY, b"1")
+
+            def evacuated():
+                return {is_evacuated(state.evacuations, "b") for state in states}
+
+            await wait_until(lambda: evacuated() == {True})
+            await restore_store(fleet.store, copy)
+            await put_row(fleet.store, "op", "note", b"again")
+            await wait_until(lambda: all(state.store_era == 2 for state in states))
+            await asyncio.sleep(SPREAD_S)
+            assert evacuated() == {True}
+            # The versions of the copy are lower than those of the lost row.
+            await put_row(fleet.store, "op", KEY, b"1")
+            await remove_row(fleet)
+            await wait_until(lambda: evacuated() == {False})
+
+    asyncio.run(scenario())
