--- a/tests/mesh/test_routing.py
+++ b/tests/mesh/test_routing.py
@@ -42,7 +42,7 @@
         record=lambda kind, **fields: events.append((kind, fields)),
     )
     return SimpleNamespace(
-        outbound=Outbound(context, state, links, None),
+        outbound=Outbound(context, state, links, None, None),
         events=events,
         now_s=now_s,
         own_load=own_load,
