--- a/agaterelay/core/placing.py
+++ b/agaterelay/core/placing.py
@@ -53,8 +53,8 @@
     ``in_flight`` counts calls in slots and in the queue, ``work_ms`` is the smoothed
     service time, ``failing`` the smoothed ratio of calls that failed.
     ``rate_limit_per_s`` is the lower of the rate limit that the upstream names and the
-    limit while it is cold, 0 if there is none, and ``rate_wait_ms`` how long the next call would wait for it, negative if more calls
-    than one are accepted at once.
+    limit while it is cold, 0 if there is none, and ``rate_wait_ms`` how long the next call
+    would wait for it, negative if more calls than one are accepted at once.
     """
 
     in_flight: int = 0
--- a/agaterelay/mesh/state.py
+++ b/agaterelay/mesh/state.py
@@ -54,9 +54,10 @@
     ``past_orders`` has the last number of each order that a later one replaced, and
     ``unwritten_moves`` the moves whose records the store may have lost, with when this was
     noticed.
-    ``versions`` caches which version serves a service, and ``targets`` which hosts serve
-    a version, and ``zone_hosts`` the usable hosts of a zone; all are cleared whenever members, orders or moves change, as is ``view``,
-    the fingerprint of all member records together with the own one that it was made of.
+    ``versions`` caches which version serves a service, ``targets`` which hosts serve a
+    version, and ``zone_hosts`` the usable hosts of a zone; all are cleared whenever members,
+    orders or moves change, as is ``view``, the fingerprint of all member records together
+    with the own one that it was made of.
     """
 
     own: Member  # written by the announcements
