Remove a caller's identity from headers only where workspaces are configured

Every request was given a second copy of its headers, also in deployments without workspaces, and code that made a Request without it would have lost all headers.

--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -162,6 +162,7 @@
     outbound.observe_outcome = meters.count_request
     outbound.observe_unidentified = meters.count_unidentified
     outbound.key_challenge = headers.KEY_CHALLENGE
+    outbound.without_identity = headers.without_identity
     outbound.observe_placement = meters.count_placement
     return Node(
         context=context,
@@ -178,18 +179,16 @@
 def make_request(request: HttpRequest) -> Request:
     """Convert an HTTP request of a caller to a ``Request``."""
     host = request.header(b"host") or ""
-    forwarded = headers.forwarded_headers(request.headers)
     return Request(
         call_id=request.header(headers.ATTEMPT_ID_KEY) or "",
         method=request.method,
         host=host.rpartition(":")[0] or host,
         path=request.target,
-        headers=forwarded,
+        headers=headers.forwarded_headers(request.headers),
         body=request.body,
         wait_ms=headers.parse_deadline_ms(request.header(headers.DEADLINE_KEY)),
         # Read from all headers: Connection may list it, and it is still the node's.
         credential=headers.parse_credential(request.headers),
-        anonymous_headers=headers.without_identity(forwarded),
         holder=request.holder,
     )
 
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -94,7 +94,9 @@
     if outbound.state.table.workspaces is not None:
         name = caller.workspace.name if caller.workspace else ""
         request = attrs.evolve(
-            request, headers=request.anonymous_headers, workspace=name
+            request,
+            headers=outbound.without_identity(request.headers),
+            workspace=name,
         )
     timeout_s = route.timeout_ms / 1000
     if request.wait_ms is not None:
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -30,7 +30,6 @@
         wait_ms: How long the caller waits for the answer, None if it does not say.
         workspace: The name of the caller's workspace, empty without one.
         credential: What the request carries to tell its workspace.
-        anonymous_headers: The headers without those that say whose the request is.
         holder: Identifies the request where room for its response is taken.
     """
 
@@ -43,7 +42,6 @@
     wait_ms: int | None = None
     workspace: str = ""
     credential: Credential = NO_CREDENTIAL
-    anonymous_headers: RawHeaders = attrs.field(default=(), repr=False)
     holder: object = attrs.field(default=None, eq=False, repr=False)
 
 
@@ -88,6 +86,7 @@
         observe_unidentified: Called with the cause of each refusal for want of a valid
             key.
         key_challenge: The headers of such a refusal.
+        without_identity: Returns a request's headers without those that say whose it is.
         observe_placement: Called with the zone in which each attempt is placed.
     """
 
@@ -116,6 +115,7 @@
     )
     observe_unidentified: Callable[[str], None] = lambda cause: None
     key_challenge: tuple[tuple[str, str], ...] = ()
+    without_identity: Callable[[RawHeaders], RawHeaders] = lambda headers: ()
     observe_placement: Callable[[str], None] = lambda zone: None
 
 
