Keep the ranking of granting hosts across configurations

Each configuration made a node rank all hosts anew for each workspace and zone and choose its links again, although both depend only on the hosts and the names of the workspaces.

--- a/agaterelay/mesh/allotments.py
+++ b/agaterelay/mesh/allotments.py
@@ -188,8 +188,15 @@
     if table is not allotments.table:
         workspaces = (table.workspaces if table else None) or ()
         limited = {item.name: item for item in workspaces if item.rate_per_s}
+        before = allotments.limited.keys()
+        if limited.keys() != before:
+            # The rest stays: ranking all hosts anew takes milliseconds.
+            for key in tuple(allotments.candidates):
+                if key[0] not in limited:
+                    del allotments.candidates[key]
+            allotments.links.outdated = True
         if allotments.table is not None:
-            allotments.new_names |= limited.keys() - allotments.limited.keys()
+            allotments.new_names |= limited.keys() - before
         allotments.new_names &= limited.keys()
         allotments.table, allotments.limited = table, limited
         for name in allotments.asking.keys() - limited.keys():
@@ -200,8 +207,6 @@
         for name in allotments.granting.keys() - limited.keys():
             if now_s - allotments.granting[name].bucket.updated_s > BUCKET_RETENTION_S:
                 del allotments.granting[name]
-        allotments.candidates.clear()
-        allotments.links.outdated = True
     return allotments.limited
 
 
@@ -214,10 +219,10 @@
     wanted = in_zone if len(in_zone) <= MAX_FULLY_LINKED_ZONE_HOSTS else set()
     for name in allotments.limited:
         own_zone = candidates_of(allotments, name, state.own.zone)
-        wanted = wanted.union(own_zone)
+        wanted.update(own_zone)
         if state.own.host in own_zone:
             for zone in _other_zones(allotments):
-                wanted = wanted.union(candidates_of(allotments, name, zone))
+                wanted.update(candidates_of(allotments, name, zone))
     return wanted - {state.own.host}
 
 
