Let nested calls wait no longer than others

A nested call waited for a slot until its deadline, and the request that it is made for kept its own slot meanwhile.

--- a/agaterelay/core/slot_queue.py
+++ b/agaterelay/core/slot_queue.py
@@ -173,9 +173,6 @@
     remaining_s = (
         ticket.deadline_s - now_s - MIN_REMAINING_TIME_RATIO * ticket.estimated_time_s
     )
-    if ticket.nested:
-        # A refusal throws away its parent's run, so a late answer is better.
-        return max(remaining_s, 0.0)
     if ticket.late:
         return max(MAX_LATE_WAIT_RATIO * remaining_s, 0.0)
     return max(min(ticket.target_s - now_s - ticket.estimated_time_s, remaining_s), 0.0)
