--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -340,6 +340,7 @@
         self.file = (Path(folder) / "record.txt").open("w")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes = {}
+        self.starts = []
         self.instances = []
         self.ips = {}
         self.store = None
@@ -453,9 +454,14 @@
             "AGATERELAY_CONFIG": str(path),
         }
         with (self.folder / f"{name}.log").open("a") as log:
-            process = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            start = asyncio.ensure_future(
+                asyncio.create_subprocess_exec(
+                    *command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                )
             )
+            # A start that is cancelled half-way must not leave a process behind.
+            self.starts.append(start)
+            process = await asyncio.shield(start)
         self.processes[name] = process
         self.record(f"node {name}: started, pid {process.pid}, {ip}")
 
@@ -518,7 +524,7 @@
 
     async def end(self):
         """End all processes, and remove the temporary folder."""
-        for process in self.processes.values():
+        for process in await asyncio.gather(*self.starts):
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
