Handle callers' input in turns of limited work

Callers saw: no answer, while others sent bodies in chunks of one byte; with many of them the process exceeded its memory.

Cause: the parser calls back for each chunk, header and request, so the cost of a read grows with these and not with its bytes. Each turn of the event loop read and parsed up to 256 KiB of every connection, some 90 ms each for chunks of one byte. Meanwhile the kernel received more for all of them, which counts as the process's memory.

Change: core/input_share.py counts the parser's steps and limits them for each turn. Input beyond that waits, connections that have caused little work lately go first, and a connection is not read while its input waits. Reads are 4 KiB while input is costly and grow to 64 KiB for cheap input; all connections share one read buffer. The kernel's buffer of a connection is 64 KiB, and a tenth of the memory is the limit for connections whose input waits: beyond it the newest costly one gets 503 and is closed. Time that input waits is not counted against its caller's limits.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -5,6 +5,9 @@
 kept, since it may wait for its turn. A request behind an answer that closes the
 connection is not handed to the handler.
 
+A connection is read in small pieces while its input is costly to parse, and is not read
+while its input waits for a later turn of the event loop (``core/input_share.py``).
+
 The parser is that of httptools. aiohttp's server is not used here: importing it takes
 longer than all other imports of a node, and every host pays for that at each start.
 """
@@ -23,6 +26,16 @@
 import httptools
 
 from agaterelay.core.call import RawHeaders
+from agaterelay.core.input_share import (
+    InputShares,
+    Share,
+    charge,
+    is_waiting,
+    may_handle,
+    run_turn,
+    stop_waiting,
+    wait_for_turn,
+)
 from agaterelay.core.model import CallerLimits
 
 BACKLOG = 1024
@@ -39,10 +52,23 @@
 # goes on for as long as the caller reads the answer.
 LINGERING_READ_S = 1.0
 STOP_POLL_S = 0.02
+# What is read at once: the first while input is costly to parse or has to wait, and up to
+# the second for long bodies.
+MIN_READ_BYTES = 4 << 10
+MAX_READ_BYTES = 64 << 10
+# What the kernel holds for a connection that is not read.
+RECEIVE_BUFFER_BYTES = 64 << 10
+# The work of one read, and of a request with all that its handler does, in steps of the
+# parser. Reads of at most the second count as cheap.
+READ_WORK = 4
+CHEAP_READ_WORK = 12
+REQUEST_WORK = 100
 # Reading is paused at the first number of requests that wait for their turn on one
 # connection, and resumed at the second.
 MAX_WAITING_REQUESTS = 32
 RESUME_WAITING_REQUESTS = 16
+# How often a time limit is looked at again while input waits for its turn.
+UNHANDLED_CHECK_S = 0.25
 # When a caller whose body found no room should come back.
 NO_ROOM_RETRY_S = 1.0
 # The colon, the space, CR and LF of a header line, besides its name and value.
@@ -165,6 +191,7 @@
         ),
         max_connections: int | None = None,
         on_crowded: Callable[[str], None] = lambda cause: None,
+        max_unread_connections: int | None = None,
     ) -> None:
         """Create a server that does not listen yet.
 
@@ -184,6 +211,8 @@
             max_connections: How many connections may be open, None for any number.
             on_crowded: Called with the cause when a connection is closed because too
                 many are open.
+            max_unread_connections: How many connections may have input that waits for
+                its turn, None for any number.
         """
         self.handler = handler
         self.on_refused = on_refused
@@ -194,6 +223,9 @@
         self.on_crowded = on_crowded
         self.connections: set[ServerConnection] = set()
         self.get_limits = get_limits
+        self.shares = InputShares(max_unread_connections)
+        # All connections are read into it, as each read is handled before the next one.
+        self.read_buffer = memoryview(bytearray(MAX_READ_BYTES))
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -212,8 +244,20 @@
         # The kernel's queue is longer than what is accepted in one turn.
         for listening in self._server.sockets:
             with socket.socket(fileno=os.dup(listening.fileno())) as same:
+                # Accepted connections inherit it.
+                same.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+                )
                 same.listen(BACKLOG)
 
+    def schedule_turn(self) -> None:
+        """Handle waiting input in the next turn of the event loop."""
+        asyncio.get_running_loop().call_soon(self._run_turn)
+
+    def _run_turn(self) -> None:
+        if run_turn(self.shares, asyncio.get_running_loop().time()):
+            self.schedule_turn()
+
     def limit_connections(self, newest: ServerConnection) -> None:
         """Close a connection if too many are open.
 
@@ -242,6 +286,11 @@
         closed.abort()
         self.on_crowded(cause)
 
+    def forget(self, connection: ServerConnection) -> None:
+        """Forget a connection that has ended."""
+        self.connections.discard(connection)
+        stop_waiting(self.shares, connection.share)
+
     @property
     def unsent_bytes(self) -> int:
         """The size of the answers that callers have not read yet."""
@@ -275,12 +324,13 @@
             connection.abort()
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection of a caller: its parser, and its requests in the order received.
 
     Attributes:
         transport: The transport, None before the connection is made and after its end.
         task: The task that answers the waiting requests, None if there is none.
+        share: What of the server's work the connection has caused.
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -292,7 +342,13 @@
         self._waiting: deque[HttpRequest | Refusal] = deque()
         # Set once nothing that follows on the connection is read as a request.
         self._reading_ended = False
-        self._reading_paused = False
+        self.share = Share(self._handle_unhandled, self._shed_input)
+        # What was read and waits for its turn, and when it was read.
+        self._unhandled: bytes | None = None
+        self._unhandled_since_s = 0.0
+        self._read_bytes = MIN_READ_BYTES
+        # Steps of the parser on the present input.
+        self._work = 0
         self._shutting_down = False
         self._writable: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -326,7 +382,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, and drop those that wait."""
         self.transport = None
-        self._server.connections.discard(self)
+        self._server.forget(self)
+        self._unhandled = None
         self._drop_body()
         self._drop_waiting()
         if self.task is not None:
@@ -348,11 +405,82 @@
             self._writable.set_result(None)
         self._writable = None
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes are read to."""
+        if self._server.shares.is_congested:
+            return self._server.read_buffer[:MIN_READ_BYTES]
+        return self._server.read_buffer[: self._read_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle bytes that were read, or let them wait for their turn."""
+        now_s = self._loop.time()
+        data = self._server.read_buffer[:nbytes]
+        if may_handle(self._server.shares, self.share, now_s):
+            self._handle_input(data, now_s)
+            return
+        self._unhandled, self._unhandled_since_s = bytes(data), now_s
+        self._update_reading()
+        self._wait_for_turn(now_s)
+
+    def _wait_for_turn(self, now_s: float) -> None:
+        if wait_for_turn(self._server.shares, self.share, now_s):
+            self._server.schedule_turn()
+
+    def _handle_unhandled(self) -> None:
+        """Handle input whose turn has come."""
+        if self._unhandled is None or self._has_many_waiting():
+            return
+        data, self._unhandled = self._unhandled, None
+        # The caller has not caused the time that its input waited.
+        self._head_began_s += self._loop.time() - self._unhandled_since_s
+        self._handle_input(data, self._unhandled_since_s)
+        self._update_reading()
+
+    def _handle_input(self, data: bytes | memoryview, received_s: float) -> None:
+        """Parse received bytes, and count the work that they cause."""
+        self._work = READ_WORK
+        self._last_received_s = received_s
+        self.data_received(data)
+        is_cheap = self._work <= CHEAP_READ_WORK
+        if not is_cheap:
+            self._read_bytes = MIN_READ_BYTES
+        elif len(data) >= self._read_bytes:
+            self._read_bytes = min(2 * self._read_bytes, MAX_READ_BYTES)
+        now_s = self._loop.time()
+        # A body's time limit counts from when its last part was handled.
+        self._last_received_s = now_s
+        if charge(self._server.shares, self.share, self._work, now_s):
+            self._server.schedule_turn()
+
+    def _shed_input(self) -> None:
+        """Drop the input that waits, as too much of it waits on all connections."""
+        self._unhandled = None
+        if self._reading_ended:
+            self.abort()
+            return
+        self._refuse(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            "too much input waits to be read",
+            NO_ROOM_RETRY_S,
+        )
+        self._update_reading()
+
+    def _has_many_waiting(self) -> bool:
+        return len(self._waiting) >= MAX_WAITING_REQUESTS and not self._reading_ended
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading."""
+        if self.transport is None:
+            return
+        if self._unhandled is not None or self._has_many_waiting():
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes, and start to answer complete requests."""
         if self._reading_ended:
             return
-        self._last_received_s = self._loop.time()
         self._began_in_segment = False
         try:
             self._parser.feed_data(data)
@@ -370,9 +498,8 @@
                 )
         if self._waiting and self.task is None:
             self.task = self._loop.create_task(self._answer_waiting())
-        if len(self._waiting) >= MAX_WAITING_REQUESTS and not self._reading_paused:
-            self._reading_paused = True
-            self.transport.pause_reading()
+        if self._has_many_waiting():
+            self._update_reading()
         if self._in_head or self._in_body:
             self._set_timer()
 
@@ -386,6 +513,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
+        self._work += 1
         if self._reading_ended or not self._in_head:
             return
         self._headers.append((name, value))
@@ -413,6 +541,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Store a part of the body."""
+        self._work += 1
         if self._reading_ended:
             return
         if len(self._body) + len(part) > self._limits.max_body_bytes:
@@ -450,6 +579,7 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
+        self._work += REQUEST_WORK
         self._in_head = self._in_body = False
         if self._reading_ended:
             return
@@ -486,11 +616,7 @@
         try:
             while self._waiting and self.transport is not None:
                 item = self._waiting.popleft()
-                if self._reading_paused and (
-                    len(self._waiting) <= RESUME_WAITING_REQUESTS
-                ):
-                    self._reading_paused = False
-                    self.transport.resume_reading()
+                self._resume_reading()
                 if await self._answer(item):
                     self._close_after_answer(isinstance(item, Refusal))
                     return
@@ -502,6 +628,15 @@
         if self._shutting_down:
             self.close()
 
+    def _resume_reading(self) -> None:
+        """Read on once few requests wait for their turn."""
+        if len(self._waiting) != RESUME_WAITING_REQUESTS:
+            return
+        if self._unhandled is None:
+            self._update_reading()
+        elif not is_waiting(self._server.shares, self.share):
+            self._wait_for_turn(self._loop.time())
+
     async def _answer(self, item: HttpRequest | Refusal) -> bool:
         """Write the answer to a request; return whether the connection is closed."""
         if isinstance(item, Refusal):
@@ -565,9 +700,9 @@
         if not has_unread:
             self.transport.close()
             return
-        if self._reading_paused:
-            self._reading_paused = False
-            self.transport.resume_reading()
+        stop_waiting(self._server.shares, self.share)
+        self._unhandled = None
+        self._update_reading()
         self.transport.write_eof()
         if self._timer is not None:
             self._timer.cancel()
@@ -658,7 +793,10 @@
         deadline_s = self._deadline_s()
         if deadline_s is None or self.transport is None:
             return
-        if self._loop.time() < deadline_s:
+        if self._unhandled is not None:
+            # The rest may have come, and waits for this node.
+            self._timer = self._loop.call_later(UNHANDLED_CHECK_S, self._check_deadline)
+        elif self._loop.time() < deadline_s:
             self._set_timer()
         elif self._in_head:
             self._refuse(
--- a/agaterelay/core/memory_account.py
+++ b/agaterelay/core/memory_account.py
@@ -32,6 +32,9 @@
 UPSTREAM_RATIO = 0.25
 MIN_UPSTREAM_BYTES = 17 << 20
 MAX_UPSTREAM_BYTES = 32 << 20
+# What received input may take that waits for its turn, in this process and in the kernel.
+UNREAD_RATIO = 0.1
+MIN_UNREAD_CONNECTIONS = 16
 # The part of the descriptors that is left to links, the upstream, the store and the
 # connections that one turn of the event loop accepts beyond the limit.
 OTHER_DESCRIPTORS_RATIO = 1 / 3
@@ -81,6 +84,17 @@
     return max(int(max_descriptors * (1 - OTHER_DESCRIPTORS_RATIO)), 1)
 
 
+def plan_unread_connections(memory_bytes: int, unread_bytes: int) -> int:
+    """Return how many connections may have input that waits for its turn.
+
+    Args:
+        memory_bytes: What the process may take.
+        unread_bytes: What one connection may have received.
+    """
+    count = int(UNREAD_RATIO * memory_bytes / unread_bytes)
+    return max(count, MIN_UNREAD_CONNECTIONS)
+
+
 def plan_responses(limit_bytes: int) -> HeldResponses:
     """Return the account of responses as a part of an account of ``limit_bytes``."""
     large_limit_bytes = int(LARGE_RESPONSES_RATIO * limit_bytes)
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -18,6 +18,8 @@
 from agaterelay.adapters.clock import SystemClock
 from agaterelay.adapters.http_pool import HttpPool
 from agaterelay.adapters.http_server import (
+    MIN_READ_BYTES,
+    RECEIVE_BUFFER_BYTES,
     HttpRequest,
     HttpResponse,
     HttpServer,
@@ -39,6 +41,7 @@
     MemoryAccount,
     plan_connections,
     plan_limit_bytes,
+    plan_unread_connections,
     plan_upstream_bytes,
     release,
 )
@@ -299,6 +302,9 @@
         partial(hold_response, node.links.room),
         plan_connections(deployment.max_descriptors),
         partial(record_crowded, node.links.room),
+        plan_unread_connections(
+            deployment.memory_mb << 20, MIN_READ_BYTES + RECEIVE_BUFFER_BYTES
+        ),
     )
     return [
         (node.callers, deployment.calls_address),
