Let callers that send on read why they were refused

Callers saw: a reset of their connection in place of the 413 or 503 that was written, when they sent the rest of a body for more than a second after the refusal.

Cause: what follows a refusal was read and discarded for one second, whatever the caller did, and the close with unread bytes then reset the connection.

Change: it is read for as long as the caller sends, up to 5 s and to the longest legal body in all. Connections that linger are limited to as many as may have unread input; the oldest is closed first.

Evidence: the new test of tests/adapters/test_http_server.py failed before with a reset, in both cases.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -18,7 +18,7 @@
 import logging
 import os
 import socket
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
@@ -47,10 +47,12 @@
 # Callers reuse a connection for up to four fifths of the idle limit, so it stays open
 # for a little longer than the limit.
 IDLE_MARGIN_S = 2.0
-# After an answer that leaves bytes unread, they are read and discarded for this long. A
-# close with unread bytes would reset the connection before the caller has the answer. It
-# goes on for as long as the caller reads the answer.
+# After an answer that leaves bytes unread, they are read and discarded until none has come
+# for the first time, at most for the second one and up to the longest body. A close with
+# unread bytes would reset the connection before the caller has the answer. It goes on for
+# as long as the caller reads the answer.
 LINGERING_READ_S = 1.0
+MAX_LINGERING_READ_S = 5.0
 STOP_POLL_S = 0.02
 # What is read at once: the first while input is costly to parse or has to wait, and up to
 # the second for long bodies.
@@ -222,6 +224,8 @@
         self.max_connections = max_connections
         self.on_crowded = on_crowded
         self.connections: set[ServerConnection] = set()
+        # Those whose further bytes are discarded, the first one for longest.
+        self._lingering: OrderedDict[ServerConnection, None] = OrderedDict()
         self.get_limits = get_limits
         self.shares = InputShares(max_unread_connections)
         # All connections are read into it, as each read is handled before the next one.
@@ -286,9 +290,18 @@
         closed.abort()
         self.on_crowded(cause)
 
+    def add_lingering(self, connection: ServerConnection) -> None:
+        """Let a connection's further bytes be discarded; close the oldest of too many."""
+        self._lingering[connection] = None
+        most = self.shares.max_waiting
+        if most is not None and len(self._lingering) > most:
+            oldest, _ = self._lingering.popitem(last=False)
+            oldest.abort()
+
     def forget(self, connection: ServerConnection) -> None:
         """Forget a connection that has ended."""
         self.connections.discard(connection)
+        self._lingering.pop(connection, None)
         stop_waiting(self.shares, connection.share)
 
     @property
@@ -349,6 +362,8 @@
         self._read_bytes = MIN_READ_BYTES
         # Steps of the parser on the present input.
         self._work = 0
+        # What was read after the last request of the connection.
+        self._discarded_bytes = 0
         self._shutting_down = False
         self._writable: asyncio.Future[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -480,6 +495,9 @@
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse received bytes, and start to answer complete requests."""
         if self._reading_ended:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > self._limits.max_body_bytes:
+                self.abort()
             return
         self._began_in_segment = False
         try:
@@ -706,19 +724,30 @@
         self.transport.write_eof()
         if self._timer is not None:
             self._timer.cancel()
+        self._server.add_lingering(self)
+        end_s = self._loop.time() + MAX_LINGERING_READ_S
+        self._linger(end_s)
+
+    def _linger(self, end_s: float) -> None:
+        """Discard what the caller sends for a while, at most until ``end_s``."""
         self._timer = self._loop.call_later(
-            LINGERING_READ_S, self._end_lingering, self.unsent_bytes
+            LINGERING_READ_S,
+            self._end_lingering,
+            end_s,
+            self.unsent_bytes,
+            self._discarded_bytes,
         )
 
-    def _end_lingering(self, unsent_before_bytes: int) -> None:
-        """Close the connection unless its caller has read on meanwhile."""
-        unsent_bytes = self.unsent_bytes
-        if not 0 < unsent_bytes < unsent_before_bytes:
+    def _end_lingering(
+        self, end_s: float, unsent_before_bytes: int, discarded_before_bytes: int
+    ) -> None:
+        """Close the connection unless its caller has read or sent more meanwhile."""
+        has_read = 0 < self.unsent_bytes < unsent_before_bytes
+        has_sent = self._discarded_bytes > discarded_before_bytes
+        if has_read or (has_sent and self._loop.time() < end_s):
+            self._linger(end_s)
+        else:
             self.abort()
-            return
-        self._timer = self._loop.call_later(
-            LINGERING_READ_S, self._end_lingering, unsent_bytes
-        )
 
     @property
     def idle(self) -> bool:
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -386,3 +386,23 @@
             writer.close()
 
     run(scenario)
+
+
+# Guards against a close that resets the connection of a caller that sends its whole body
+# before it reads the answer.
+@pytest.mark.parametrize(
+    "framing", ["Content-Length: 1000000", "Transfer-Encoding: chunked"]
+)
+def test_a_caller_that_sends_on_after_a_refusal_can_read_it(framing):
+    async def scenario():
+        async with serving(echo, max_body_bytes=500_000) as (_, connect):
+            reader, writer = await connect()
+            writer.write(f"POST /a HTTP/1.1\r\n{framing}\r\n\r\n".encode())
+            for _ in range(6):
+                writer.write(b"186a0\r\n" + b"a" * 100_000 + b"\r\n")
+                await writer.drain()
+                await asyncio.sleep(LINGERING_READ_S / 3)
+            assert (await read_answer(reader))[0] == 413
+            assert await read_to_end(reader) == b""
+
+    run(scenario)
