Limit the framing of chunked bodies

Callers saw: a process that exceeded its memory while others sent a trailer without an end.

Cause: the limits counted the bytes of heads and bodies. The parser keeps a header line until its end, so a trailer's value grew without a limit; chunk extensions and trailer lines were dropped, but kept the node busy for as long as they came.

Change: between two parts of a body, extensions and trailers are limited like headers, and in all to that and eight bytes for each byte of the body, as in answers of upstreams. A chunk of one byte needs five or six. More is refused with 431, which callers don't repeat.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -73,6 +73,10 @@
 UNHANDLED_CHECK_S = 0.25
 # When a caller whose body found no room should come back.
 NO_ROOM_RETRY_S = 1.0
+# Small chunks need framing of several times their own size, so that the bytes of a body
+# raise the limit on the framing of its chunks. Between two parts of a body, chunk
+# extensions and trailers are limited like headers.
+FRAMING_BYTES_PER_BODY_BYTE = 8
 # The colon, the space, CR and LF of a header line, besides its name and value.
 HEADER_LINE_OVERHEAD_BYTES = 4
 # Statuses whose answers have no body and no Content-Length.
@@ -381,6 +385,7 @@
         self._body = bytearray()
         self._head_bytes = 0
         self._unparsed_head_bytes = 0
+        self._framing_bytes = self._framing_since_body_bytes = 0
         self._in_head = True
         self._in_body = False
         self._began_in_segment = True
@@ -500,6 +505,7 @@
                 self.abort()
             return
         self._began_in_segment = False
+        body_bytes_before = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -514,6 +520,8 @@
                 self._refuse(
                     HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long"
                 )
+        if self._in_body and not self._began_in_segment:
+            self._limit_framing(len(data), len(self._body) - body_bytes_before)
         if self._waiting and self.task is None:
             self.task = self._loop.create_task(self._answer_waiting())
         if self._has_many_waiting():
@@ -521,6 +529,30 @@
         if self._in_head or self._in_body:
             self._set_timer()
 
+    def _limit_framing(self, received_bytes: int, body_bytes: int) -> None:
+        """Refuse a body whose chunks have more framing than any caller needs.
+
+        Args:
+            received_bytes: What was received of the body and its framing.
+            body_bytes: What of this was the body's.
+        """
+        framing_bytes = received_bytes - body_bytes
+        self._framing_bytes += framing_bytes
+        if body_bytes:
+            self._framing_since_body_bytes = 0
+        else:
+            self._framing_since_body_bytes += framing_bytes
+        max_bytes = self._limits.max_header_bytes
+        allowed_bytes = FRAMING_BYTES_PER_BODY_BYTE * len(self._body)
+        if (
+            self._framing_bytes > max_bytes + allowed_bytes
+            or self._framing_since_body_bytes > max_bytes
+        ):
+            self._refuse(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "the framing of the body is too long",
+            )
+
     def on_message_begin(self) -> None:
         """Start the next request."""
         self._begin_request()
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -406,3 +406,44 @@
             assert await read_to_end(reader) == b""
 
     run(scenario)
+
+
+CHUNKED_HEAD = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+# Guards against framing that the parser keeps, or that keeps it busy, without an end.
+@pytest.mark.parametrize(
+    ("first", "piece"),
+    [
+        (b"1\r\na\r\n0\r\nX-Trailer: ", b"a" * 1000),
+        (b"1\r\na\r\n0\r\n", b"a:b\r\n" * 200),
+        (b"1;x=", b"a" * 1000),
+        (b"", b"1;x=" + b"a" * 500 + b"\r\na\r\n"),
+    ],
+)
+def test_framing_of_a_body_without_an_end_is_refused(first, piece):
+    async def scenario():
+        async with serving(echo, max_header_bytes=4000) as (_, connect):
+            reader, writer = await connect()
+            writer.write(CHUNKED_HEAD)
+            await asyncio.sleep(0.05)
+            writer.write(first)
+            for _ in range(40):
+                writer.write(piece)
+                await asyncio.sleep(0)
+            assert (await read_answer(reader))[0] == 431
+
+    run(scenario)
+
+
+def test_a_body_in_chunks_of_one_byte_with_a_trailer_is_inside_the_limit():
+    async def scenario():
+        async with serving(echo, max_header_bytes=1000) as (_, connect):
+            reader, writer = await connect()
+            writer.write(CHUNKED_HEAD)
+            await asyncio.sleep(0.05)
+            writer.write(b"01\r\na\r\n" * 20_000)
+            writer.write(b"0\r\nX-Trailer: " + b"a" * 800 + b"\r\n\r\n")
+            assert (await read_answer(reader))[2] == b"a" * 20_000
+
+    run(scenario)
