Reserve room for long heads and for requests sent ahead

Callers saw: processes over their memory while others sent heads inside the limits, or requests ahead of their answers.

Cause: only bodies were in the account. A head of 14 KiB in lines of five bytes takes half a megabyte in objects, and up to 32 requests waited on a connection.

Change: a request takes room for its header lines and objects as it is read, and keeps it until its answer. The first request of a connection is free up to 6 KiB, so ordinary ones need no reservation. A body of unknown length reserves steps of 1 MiB at most, where it doubled before. Without room the request gets 503 with Retry-After, as bodies do.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -79,6 +79,13 @@
 FRAMING_BYTES_PER_BODY_BYTE = 8
 # The colon, the space, CR and LF of a header line, besides its name and value.
 HEADER_LINE_OVERHEAD_BYTES = 4
+# The memory of a header line's objects, and of those of a request, besides its bytes.
+HEADER_LINE_MEMORY_BYTES = 200
+REQUEST_MEMORY_BYTES = 2 << 10
+# The first request of a connection reserves no room until it takes more than this.
+FREE_REQUEST_BYTES = 6 << 10
+# Room for a body of unknown length is reserved in steps that grow up to this size.
+MAX_RESERVED_STEP_BYTES = 1 << 20
 # Statuses whose answers have no body and no Content-Length.
 _BODILESS_STATUSES = frozenset({204, 304})
 _PHRASES = {status.value: status.phrase for status in HTTPStatus}
@@ -95,7 +102,7 @@
     Attributes:
         received_s: When its last byte was received, on the event loop's clock.
         keep_alive: Whether the caller allows further requests on the connection.
-        holder: Identifies the body where room for it is reserved.
+        holder: Identifies the request where room for it is reserved.
     """
 
     method: str
@@ -190,8 +197,8 @@
         handler: Handler,
         get_limits: Callable[[], CallerLimits] = CallerLimits,
         on_refused: Callable[[Refusal], None] = lambda refusal: None,
-        reserve_body: Callable[[object, int], bool] = lambda holder, size_bytes: True,
-        release_body: Callable[[object], None] = lambda holder: None,
+        reserve: Callable[[object, int], bool] = lambda holder, size_bytes: True,
+        release: Callable[[object], None] = lambda holder: None,
         hold_response: Callable[[ServerConnection, object, int], bool] = (
             lambda connection, holder, size_bytes: True
         ),
@@ -206,9 +213,9 @@
                 disconnects.
             get_limits: Returns the limits of a request that begins now.
             on_refused: Called when a request is refused before it is complete.
-            reserve_body: Reserves room for a body, given what identifies it and its size
-                in bytes as far as it is known; returns whether there is room.
-            release_body: Releases the room of a body that is no longer needed.
+            reserve: Reserves room for a request, given what identifies it and its size in
+                memory as far as it is known; returns whether there is room.
+            release: Releases the room of a request that is no longer needed.
             hold_response: Takes room for a response, given the connection, what
                 identifies the request, and its size in bytes; returns whether there is
                 room. The connection is closed if there is none. It is called before a
@@ -222,8 +229,8 @@
         """
         self.handler = handler
         self.on_refused = on_refused
-        self.reserve_body = reserve_body
-        self.release_body = release_body
+        self.reserve = reserve
+        self.release = release
         self.hold_response = hold_response
         self.max_connections = max_connections
         self.on_crowded = on_crowded
@@ -379,6 +386,8 @@
         self._limits = self._server.get_limits()
         self._holder = object()
         self._reserved_bytes = 0
+        is_first = not self._waiting and self.task is None
+        self._free_bytes = FREE_REQUEST_BYTES if is_first else 0
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         # A list of the parts would take many times the memory of small ones.
@@ -572,6 +581,14 @@
             self._refuse(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the headers are too long"
             )
+        elif self._head_memory_bytes > self._free_bytes:
+            self._reserve(0)
+
+    @property
+    def _head_memory_bytes(self) -> int:
+        """The memory that the request takes without its body."""
+        lines_bytes = HEADER_LINE_MEMORY_BYTES * len(self._headers)
+        return REQUEST_MEMORY_BYTES + self._head_bytes + lines_bytes
 
     def on_headers_complete(self) -> None:
         """Refuse a body that is declared too long, or ask for the body."""
@@ -600,16 +617,21 @@
         if self._reserve(len(self._body) + len(part)):
             self._body += part
 
-    def _reserve(self, size_bytes: int) -> bool:
-        """Reserve room for a body of this size, or refuse the request."""
+    def _reserve(self, body_bytes: int) -> bool:
+        """Reserve room for the request with a body of this size, or refuse it."""
+        head_bytes = self._head_memory_bytes
+        size_bytes = body_bytes
+        if head_bytes > self._free_bytes:
+            size_bytes += head_bytes
         if size_bytes <= self._reserved_bytes:
             return True
-        # A body of unknown size takes room in steps.
-        self._reserved_bytes = max(size_bytes, 2 * self._reserved_bytes)
-        if not self._server.reserve_body(self._holder, self._reserved_bytes):
+        # The size of a head or body without a declared length takes room in steps.
+        step_bytes = min(self._reserved_bytes, MAX_RESERVED_STEP_BYTES)
+        self._reserved_bytes = max(size_bytes, self._reserved_bytes + step_bytes)
+        if not self._server.reserve(self._holder, self._reserved_bytes):
             self._refuse(
                 HTTPStatus.SERVICE_UNAVAILABLE,
-                "there is no room for the body",
+                f"there is no room for the {'body' if body_bytes else 'headers'}",
                 NO_ROOM_RETRY_S,
             )
             return False
@@ -617,14 +639,14 @@
 
     def _drop_body(self) -> None:
         """Drop the body that is being read."""
-        self._server.release_body(self._holder)
+        self._server.release(self._holder)
         self._body = bytearray()
 
     def _drop_waiting(self) -> None:
         """Drop the requests that wait for their turn."""
         for item in self._waiting:
             if isinstance(item, HttpRequest):
-                self._server.release_body(item.holder)
+                self._server.release(item.holder)
         self._waiting.clear()
 
     def on_message_complete(self) -> None:
@@ -720,7 +742,7 @@
             response = HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR.value)
             rendered = render_response(response, closes, item.version, head_only)
         finally:
-            self._server.release_body(item.holder)
+            self._server.release(item.holder)
         self._write(rendered)
         if body:
             self._write(body)
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 import tracemalloc
 
@@ -12,16 +13,20 @@
     HttpResponse,
     HttpServer,
 )
+from agaterelay.core.memory_account import MemoryAccount, release, reserve
 from agaterelay.core.model import CallerLimits
 
 TIMEOUT_S = 5.0
 
 
 @contextlib.asynccontextmanager
-async def serving(handler, **limits):
+async def serving(handler, account=None, **limits):
     """Serve on a free port; yield the server and a function that connects to it."""
     refusals = []
     server = HttpServer(handler, lambda: CallerLimits(**limits), refusals.append)
+    if account is not None:
+        server.reserve = functools.partial(reserve, account)
+        server.release = functools.partial(release, account)
     server.refusals = refusals
     await server.listen("127.0.0.1:0")
     port = server._server.sockets[0].getsockname()[1]
@@ -447,3 +452,59 @@
             assert (await read_answer(reader))[2] == b"a" * 20_000
 
     run(scenario)
+
+
+# Guards against heads that take much more memory than their bytes.
+def test_a_head_of_many_lines_takes_room_until_its_answer():
+    held = []
+
+    async def note(request):
+        held.append(account.used_bytes)
+        return HttpResponse(200)
+
+    account = MemoryAccount(10 << 20)
+
+    async def scenario():
+        async with serving(note, account) as (_, connect):
+            reader, writer = await connect()
+            writer.write(b"GET /a HTTP/1.1\r\n" + b"a:b\r\n" * 2000 + b"\r\n")
+            assert (await read_answer(reader))[0] == 200
+            assert held[0] > 2000 * 200
+            assert account.used_bytes == 0
+            account.limit_bytes = 100_000
+            writer.write(b"GET /a HTTP/1.1\r\n" + b"a:b\r\n" * 2000)
+            status, headers, _ = await read_answer(reader)
+            assert (status, headers["retry-after"]) == (503, "1.000")
+            assert account.used_bytes == 0
+
+    run(scenario)
+
+
+def test_requests_ahead_of_their_answers_take_room_and_the_first_one_is_answered():
+    async def wait(request):
+        began.set()
+        await ended.wait()
+        return HttpResponse(200)
+
+    account = MemoryAccount(100_000)
+    began, ended = asyncio.Event(), asyncio.Event()
+
+    async def scenario():
+        async with serving(wait, account) as (server, connect):
+            reader, writer = await connect()
+            writer.write(get("/first"))
+            await began.wait()
+            writer.write(b"".join(get(f"/{number}") for number in range(30)))
+            async with asyncio.timeout(TIMEOUT_S):
+                while not any(item._reading_ended for item in server.connections):
+                    await asyncio.sleep(0.01)
+            assert account.used_bytes > 0
+            ended.set()
+            statuses = [(await read_answer(reader))[0] for _ in range(2)]
+            while statuses[-1] == 200:
+                statuses.append((await read_answer(reader))[0])
+            assert statuses[-1] == 503
+            assert await read_to_end(reader) == b""
+            assert account.used_bytes == 0
+
+    run(scenario)
