Give requests sent ahead no precedence over other callers

Callers saw: 503 for as long as others sent requests ahead of their answers (all tries in 30 s of one ordinary caller, each time).

Cause: after a refusal the next request of the connection was tried at once, 12,000 a second from 100 connections, so each place in the queue was taken before others asked again. Calls wait in the order of the time until which their answer is of use. For a request that had waited behind others of its connection this counted from its receipt, so it went before all that came later.

Change: after a refusal, requests ahead wait for as long as the refusal tells callers to, 0.1 s at most. The time of use counts from when a request was the first on its connection; its time limit still counts from its receipt.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -69,6 +69,8 @@
 # connection, and resumed at the second.
 MAX_WAITING_REQUESTS = 32
 RESUME_WAITING_REQUESTS = 16
+# Requests ahead wait for at most this long after a refusal.
+MAX_PAUSE_S = 0.1
 # How often a time limit is looked at again while input waits for its turn.
 UNHANDLED_CHECK_S = 0.25
 # When a caller whose body found no room should come back.
@@ -122,12 +124,18 @@
 
 @attrs.frozen
 class HttpResponse:
-    """A response; ``closes`` is whether the connection is closed after it."""
+    """A response.
+
+    Attributes:
+        closes: Whether the connection is closed after it.
+        pause_s: How long requests that were sent ahead on the connection wait after it.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = attrs.field(default=b"", repr=False)
     closes: bool = False
+    pause_s: float = 0.0
 
 
 @attrs.frozen
@@ -355,6 +363,8 @@
         transport: The transport, None before the connection is made and after its end.
         task: The task that answers the waiting requests, None if there is none.
         share: What of the server's work the connection has caused.
+        turn_began_s: When the request that is being answered was the first one on the
+            connection, on the event loop's clock.
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -366,6 +376,7 @@
         self._waiting: deque[HttpRequest | Refusal] = deque()
         # Set once nothing that follows on the connection is read as a request.
         self._reading_ended = False
+        self.turn_began_s = 0.0
         self.share = Share(self._handle_unhandled, self._shed_input)
         # What was read and waits for its turn, and when it was read.
         self._unhandled: bytes | None = None
@@ -373,6 +384,7 @@
         self._read_bytes = MIN_READ_BYTES
         # Steps of the parser on the present input.
         self._work = 0
+        self._pause_s = 0.0
         # What was read after the last request of the connection.
         self._discarded_bytes = 0
         self._shutting_down = False
@@ -685,21 +697,34 @@
 
     async def _answer_waiting(self) -> None:
         """Answer the waiting requests one after the other, until none is left."""
+        turn_began_s = 0.0
         try:
             while self._waiting and self.transport is not None:
                 item = self._waiting.popleft()
                 self._resume_reading()
+                self.turn_began_s = turn_began_s
                 if await self._answer(item):
                     self._close_after_answer(isinstance(item, Refusal))
                     return
                 if self._writable is not None:
                     await self._writable
+                turn_began_s = self._loop.time()
+                await self._pause()
         finally:
             self.task = None
             self._idle_since_s = self._loop.time()
         if self._shutting_down:
             self.close()
 
+    async def _pause(self) -> None:
+        """Let requests ahead wait after a refusal, as their caller would have to.
+
+        Otherwise one caller takes each place that comes free before others ask again.
+        """
+        pause_s, self._pause_s = self._pause_s, 0.0
+        if pause_s and self._waiting and not self._shutting_down:
+            await asyncio.sleep(min(pause_s, MAX_PAUSE_S))
+
     def _resume_reading(self) -> None:
         """Read on once few requests wait for their turn."""
         if len(self._waiting) != RESUME_WAITING_REQUESTS:
@@ -723,6 +748,7 @@
         head_only = item.method == "HEAD"
         try:
             response = await self._server.handler(item)
+            self._pause_s = response.pause_s
             closes = response.closes or self._shutting_down or not item.keep_alive
             body = b"" if head_only else response.body
             if response.status in _BODILESS_STATUSES:
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -116,7 +116,8 @@
     if has_disconnected(request):
         return _refuse(node, wanted.call_id, "the caller has left")
     waited_s = asyncio.get_running_loop().time() - request.received_s
-    outcome = await handle_request(node.outbound, wanted, waited_s)
+    ahead_s = max(request.connection.turn_began_s - request.received_s, 0.0)
+    outcome = await handle_request(node.outbound, wanted, waited_s, ahead_s)
     return response_of(outcome, node.state.stopping or _should_close(node, outcome))
 
 
--- a/agaterelay/mesh/outbound.py
+++ b/agaterelay/mesh/outbound.py
@@ -68,7 +68,7 @@
 
 
 async def handle_request(
-    outbound: Outbound, request: Request, waited_s: float = 0.0
+    outbound: Outbound, request: Request, waited_s: float = 0.0, ahead_s: float = 0.0
 ) -> Outcome:
     """Place a caller's request and return its outcome.
 
@@ -77,6 +77,8 @@
         request: The request.
         waited_s: How long it has waited for its turn since it was received, in seconds.
             Its time limits count from then.
+        ahead_s: How much of this it has waited behind others on its connection, in
+            seconds. It gains no precedence over requests of other callers by that.
     """
     now_s = outbound.context.clock.monotonic_s()
     started_s = now_s - waited_s
@@ -122,9 +124,8 @@
         waited_s=waited_s,
         rank=rank_of(caller, route),
     )
-    request_state.target_s = started_s + remaining_target_s(
-        outbound, route, request.wait_ms
-    )
+    target_s = remaining_target_s(outbound, route, request.wait_ms)
+    request_state.target_s = started_s + ahead_s + target_s
     running = outbound.links.inbound.running
     parent = begin_nested(running, request.call_id)
     request_state.nested = parent is not None
--- a/agaterelay/mesh/servers.py
+++ b/agaterelay/mesh/servers.py
@@ -26,12 +26,15 @@
     if isinstance(outcome, Answered):
         return HttpResponse(outcome.status, outcome.headers, outcome.body, closes)
     headers = (_TEXT,)
+    pause_s = 0.0
     status = TIMED_OUT_STATUS if outcome_timed_out(outcome) else UNKNOWN_STATUS
     if isinstance(outcome, NotRun):
         status = NOT_RUN_STATUS
         if outcome.retry_after_s is not None:
-            headers += (("Retry-After", f"{max(outcome.retry_after_s, 0.01):.3f}"),)
-    return HttpResponse(status, headers, f"{outcome.reason}\n".encode(), closes)
+            pause_s = max(outcome.retry_after_s, 0.01)
+            headers += (("Retry-After", f"{pause_s:.3f}"),)
+    body = f"{outcome.reason}\n".encode()
+    return HttpResponse(status, headers, body, closes, pause_s)
 
 
 def outcome_timed_out(outcome: Outcome) -> bool:
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -508,3 +508,29 @@
             assert account.used_bytes == 0
 
     run(scenario)
+
+
+# Guards against one caller that takes each place that comes free before others ask again.
+def test_requests_ahead_wait_after_a_refusal_while_other_callers_are_handled():
+    seen = []
+
+    async def refuse(request):
+        seen.append(request.target)
+        return HttpResponse(503, pause_s=0.05)
+
+    async def scenario():
+        async with serving(refuse) as (_, connect):
+            reader, writer = await connect()
+            other_reader, other_writer = await connect()
+            writer.write(b"".join(get(f"/ahead/{number}") for number in range(20)))
+            await read_answer(reader)
+            for number in range(3):
+                other_writer.write(get(f"/other/{number}"))
+                await read_answer(other_reader)
+            assert sum("ahead" in target for target in seen) < 20
+            for _ in range(19):
+                await read_answer(reader)
+            ahead = [target for target in seen if "ahead" in target]
+            assert ahead == [f"/ahead/{number}" for number in range(20)]
+
+    run(scenario)
--- a/tests/mesh/test_pipelining.py
+++ b/tests/mesh/test_pipelining.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from agaterelay.mesh import links
 from tests.mesh.fleet import route, running_fleet, wait_until
 
 SLOW_S = 0.4
@@ -152,3 +153,30 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+# Guards against callers that go before all others by sending requests ahead.
+def test_a_request_gains_no_precedence_by_its_wait_behind_others_of_its_connection(
+    monkeypatch,
+):
+    useful_s = []
+    run_call = links.run_call
+
+    async def note(inbound, call, may_start=None):
+        useful_s.append(call.target_s - inbound.context.clock.monotonic_s())
+        return await run_call(inbound, call, may_start)
+
+    async def scenario():
+        async with running_fleet(("desk",), ROUTES) as fleet:
+            fleet.hosts[0].instance.service_time_s = SLOW_S
+            monkeypatch.setattr(links, "run_call", note)
+            reader, writer = await connect(fleet.hosts[0])
+            writer.write(request_of("first") + request_of("behind"))
+            for _ in range(2):
+                status, _, _ = await read_answer(reader)
+                assert status == 200
+            writer.close()
+            first_s, behind_s = useful_s
+            assert behind_s > first_s - SLOW_S / 2
+
+    asyncio.run(scenario())
