Limit connections to the platform's addresses

Callers saw: nothing yet; 500 silent connections to the address for announcements, readiness or metrics took 514 descriptors of 400, so the process could have opened no others.

Cause: only the address for callers had a limit of connections and an account of bodies.

Change: each of the three addresses may have a sixteenth of the descriptors (256 of 4,100; the platform and the instance use a few), and takes room from the same account. A connection that has sent nothing is closed before one that is idle between requests.

A new test of the order in which connections are closed failed before.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -284,9 +284,10 @@
     def limit_connections(self, newest: ServerConnection) -> None:
         """Close a connection if too many are open.
 
-        The one that is idle for longest is closed first, then the one with the most
-        unread bytes, then the one that has been sending a head for longest. Where all
-        others have a request in progress, the newest one is closed.
+        The one that has sent nothing for longest is closed first, then the one that is
+        idle for longest, then the one with the most unread bytes, then the one that has
+        been sending a head for longest. Where all others have a request in progress, the
+        newest one is closed.
         """
         if self.max_connections is None or (
             len(self.connections) <= self.max_connections
@@ -294,9 +295,12 @@
             return
         others = [item for item in self.connections if item is not newest]
         idle = [item for item in others if item.idle]
+        silent = [item for item in idle if not item.has_sent]
         unread = [item for item in others if item.unsent_bytes]
         beginning = [item for item in others if item.in_head]
-        if idle:
+        if silent:
+            cause, closed = "silent", min(silent, key=lambda item: item.idle_since_s)
+        elif idle:
             cause, closed = "idle", min(idle, key=lambda item: item.idle_since_s)
         elif unread:
             cause, closed = "unread", max(unread, key=lambda item: item.unsent_bytes)
@@ -385,6 +389,7 @@
         # Steps of the parser on the present input.
         self._work = 0
         self._pause_s = 0.0
+        self._has_sent = False
         # What was read after the last request of the connection.
         self._discarded_bytes = 0
         self._shutting_down = False
@@ -480,6 +485,7 @@
     def _handle_input(self, data: bytes | memoryview, received_s: float) -> None:
         """Parse received bytes, and count the work that they cause."""
         self._work = READ_WORK
+        self._has_sent = True
         self._last_received_s = received_s
         self.data_received(data)
         is_cheap = self._work <= CHEAP_READ_WORK
@@ -835,6 +841,11 @@
         in_request = self._in_head or self._in_body or self.task is not None
         return not in_request and not self.unsent_bytes
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether anything was received on the connection."""
+        return self._has_sent
+
     @property
     def idle_since_s(self) -> float:
         """When the connection became idle, on the event loop's clock."""
--- a/agaterelay/core/memory_account.py
+++ b/agaterelay/core/memory_account.py
@@ -38,6 +38,8 @@
 # The part of the descriptors that is left to links, the upstream, the store and the
 # connections that one turn of the event loop accepts beyond the limit.
 OTHER_DESCRIPTORS_RATIO = 1 / 3
+# What connections to each address of the platform may take of that part.
+PLATFORM_DESCRIPTORS_RATIO = 1 / 16
 
 
 @attrs.define
@@ -84,6 +86,11 @@
     return max(int(max_descriptors * (1 - OTHER_DESCRIPTORS_RATIO)), 1)
 
 
+def plan_platform_connections(max_descriptors: int) -> int:
+    """Return how many connections to one of the platform's addresses may be open."""
+    return max(int(max_descriptors * PLATFORM_DESCRIPTORS_RATIO), 1)
+
+
 def plan_unread_connections(memory_bytes: int, unread_bytes: int) -> int:
     """Return how many connections may have input that waits for its turn.
 
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -41,6 +41,7 @@
     MemoryAccount,
     plan_connections,
     plan_limit_bytes,
+    plan_platform_connections,
     plan_unread_connections,
     plan_upstream_bytes,
     release,
@@ -293,25 +294,39 @@
         record_refused(node, refusal.reason, refusal.status, call_id)
 
     account = node.inbound.account
+    reserve_room = partial(reserve_body, account)
+    release_room = partial(release, account)
+    max_unread_connections = plan_unread_connections(
+        deployment.memory_mb << 20, MIN_READ_BYTES + RECEIVE_BUFFER_BYTES
+    )
     node.callers = HttpServer(
         handle_caller,
         partial(limits_in_force, node.state),
         record_refusal,
-        partial(reserve_body, account),
-        partial(release, account),
+        reserve_room,
+        release_room,
         partial(hold_response, node.links.room),
         plan_connections(deployment.max_descriptors),
         partial(record_crowded, node.links.room),
-        plan_unread_connections(
-            deployment.memory_mb << 20, MIN_READ_BYTES + RECEIVE_BUFFER_BYTES
-        ),
+        max_unread_connections,
     )
-    return [
-        (node.callers, deployment.calls_address),
-        (HttpServer(handle_platform, PLATFORM_LIMITS), deployment.announce_address),
-        (HttpServer(handle_platform, PLATFORM_LIMITS), deployment.ready_address),
-        (HttpServer(handle_platform, PLATFORM_LIMITS), deployment.metrics_address),
-    ]
+    servers = [(node.callers, deployment.calls_address)]
+    for address in (
+        deployment.announce_address,
+        deployment.ready_address,
+        deployment.metrics_address,
+    ):
+        server = HttpServer(
+            handle_platform,
+            PLATFORM_LIMITS,
+            reserve=reserve_room,
+            release=release_room,
+            max_connections=plan_platform_connections(deployment.max_descriptors),
+            on_crowded=partial(record_crowded, node.links.room),
+            max_unread_connections=max_unread_connections,
+        )
+        servers.append((server, address))
+    return servers
 
 
 async def run(deployment: Deployment, reload_requested: Callable[[], bool]) -> None:
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -534,3 +534,22 @@
             assert ahead == [f"/ahead/{number}" for number in range(20)]
 
     run(scenario)
+
+
+# Guards against connections in use that are closed for others that send nothing.
+def test_where_too_many_connections_are_open_a_silent_one_is_closed_first():
+    async def scenario():
+        async with serving(echo) as (server, connect):
+            server.max_connections = 3
+            causes = []
+            server.on_crowded = causes.append
+            used_reader, used_writer = await connect()
+            used_writer.write(get("/a"))
+            assert (await read_answer(used_reader))[0] == 200
+            silent_readers = [(await connect())[0] for _ in range(3)]
+            assert await read_to_end(silent_readers[0]) == b""
+            assert causes == ["silent"]
+            used_writer.write(get("/b"))
+            assert (await read_answer(used_reader))[0] == 200
+
+    run(scenario)
