Let stalled requests give way to others

Callers saw: 503 for each request with a body, for as long as others held the room of small bodies by stopping one byte short of their end.

Cause: a body that is being received kept its room until the idle time limit, and a caller that was refused for it took the next room that came free.

Change: where there is no room, the request that has made no progress for longest is refused with 503 in favour of the new one: less than 16 KiB more within a quarter of a second. Requests whose input waits for the node don't give way, and small bodies don't give way to large ones. In calm nothing gives way.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -115,7 +115,7 @@
     keep_alive: bool
     version: str
     connection: ServerConnection = attrs.field(repr=False)
-    holder: object = attrs.field(factory=object, repr=False)
+    holder: Holder = attrs.field(repr=False)
 
     def header(self, name: bytes) -> str | None:
         """Return the first value of a header, given in lower case, or None."""
@@ -152,6 +152,39 @@
     retry_after_s: float | None = None
 
 
+class Holder:
+    """Identifies a request where room for it is reserved."""
+
+    def __init__(self, connection: ServerConnection) -> None:
+        self._connection = connection
+
+    def give_way(self) -> bool:
+        """Refuse the request, as it makes no progress and others need its room.
+
+        Returns:
+            False if it is the node that has to go on first.
+        """
+        return self._connection.give_way(self)
+
+
+@attrs.frozen
+class RequestRoom:
+    """Functions that reserve memory for requests.
+
+    Attributes:
+        reserve: Reserves room for a request, given its size in memory as far as it is
+            known; returns whether there is room.
+        release: Releases the room of a request that is no longer needed.
+        note_received: Called with what has been received of an incomplete request.
+        finish_receiving: Called when a request is complete.
+    """
+
+    reserve: Callable[[Holder, int], bool] = lambda holder, size_bytes: True
+    release: Callable[[Holder], None] = lambda holder: None
+    note_received: Callable[[Holder, int], None] = lambda holder, received_bytes: None
+    finish_receiving: Callable[[Holder], None] = lambda holder: None
+
+
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
@@ -205,8 +238,7 @@
         handler: Handler,
         get_limits: Callable[[], CallerLimits] = CallerLimits,
         on_refused: Callable[[Refusal], None] = lambda refusal: None,
-        reserve: Callable[[object, int], bool] = lambda holder, size_bytes: True,
-        release: Callable[[object], None] = lambda holder: None,
+        room: RequestRoom = RequestRoom(),
         hold_response: Callable[[ServerConnection, object, int], bool] = (
             lambda connection, holder, size_bytes: True
         ),
@@ -221,9 +253,7 @@
                 disconnects.
             get_limits: Returns the limits of a request that begins now.
             on_refused: Called when a request is refused before it is complete.
-            reserve: Reserves room for a request, given what identifies it and its size in
-                memory as far as it is known; returns whether there is room.
-            release: Releases the room of a request that is no longer needed.
+            room: Reserves memory for requests.
             hold_response: Takes room for a response, given the connection, what
                 identifies the request, and its size in bytes; returns whether there is
                 room. The connection is closed if there is none. It is called before a
@@ -237,8 +267,7 @@
         """
         self.handler = handler
         self.on_refused = on_refused
-        self.reserve = reserve
-        self.release = release
+        self.room = room
         self.hold_response = hold_response
         self.max_connections = max_connections
         self.on_crowded = on_crowded
@@ -401,7 +430,7 @@
 
     def _begin_request(self) -> None:
         self._limits = self._server.get_limits()
-        self._holder = object()
+        self._holder = Holder(self)
         self._reserved_bytes = 0
         is_first = not self._waiting and self.task is None
         self._free_bytes = FREE_REQUEST_BYTES if is_first else 0
@@ -493,6 +522,9 @@
             self._read_bytes = MIN_READ_BYTES
         elif len(data) >= self._read_bytes:
             self._read_bytes = min(2 * self._read_bytes, MAX_READ_BYTES)
+        if self._reserved_bytes and (self._in_head or self._in_body):
+            received_bytes = self._head_bytes + len(self._body)
+            self._server.room.note_received(self._holder, received_bytes)
         now_s = self._loop.time()
         # A body's time limit counts from when its last part was handled.
         self._last_received_s = now_s
@@ -512,6 +544,18 @@
         )
         self._update_reading()
 
+    def give_way(self, holder: Holder) -> bool:
+        """Refuse a request whose body makes no progress; see ``Holder.give_way``."""
+        if self._unhandled is not None:
+            return False
+        if holder is self._holder:
+            self._refuse(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "it stalled, and there is no room for it",
+                NO_ROOM_RETRY_S,
+            )
+        return True
+
     def _has_many_waiting(self) -> bool:
         return len(self._waiting) >= MAX_WAITING_REQUESTS and not self._reading_ended
 
@@ -646,7 +690,7 @@
         # The size of a head or body without a declared length takes room in steps.
         step_bytes = min(self._reserved_bytes, MAX_RESERVED_STEP_BYTES)
         self._reserved_bytes = max(size_bytes, self._reserved_bytes + step_bytes)
-        if not self._server.reserve(self._holder, self._reserved_bytes):
+        if not self._server.room.reserve(self._holder, self._reserved_bytes):
             self._refuse(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 f"there is no room for the {'body' if body_bytes else 'headers'}",
@@ -657,14 +701,14 @@
 
     def _drop_body(self) -> None:
         """Drop the body that is being read."""
-        self._server.release(self._holder)
+        self._server.room.release(self._holder)
         self._body = bytearray()
 
     def _drop_waiting(self) -> None:
         """Drop the requests that wait for their turn."""
         for item in self._waiting:
             if isinstance(item, HttpRequest):
-                self._server.release(item.holder)
+                self._server.room.release(item.holder)
         self._waiting.clear()
 
     def on_message_complete(self) -> None:
@@ -684,7 +728,9 @@
             connection=self,
             holder=self._holder,
         )
-        self._holder, self._body = object(), bytearray()
+        if self._reserved_bytes:
+            self._server.room.finish_receiving(self._holder)
+        self._holder, self._body = Holder(self), bytearray()
         self._reading_ended = not request.keep_alive
         self._waiting.append(request)
 
@@ -774,7 +820,7 @@
             response = HttpResponse(HTTPStatus.INTERNAL_SERVER_ERROR.value)
             rendered = render_response(response, closes, item.version, head_only)
         finally:
-            self._server.release(item.holder)
+            self._server.room.release(item.holder)
         self._write(rendered)
         if body:
             self._write(body)
--- a/agaterelay/core/memory_account.py
+++ b/agaterelay/core/memory_account.py
@@ -3,10 +3,12 @@
 Bodies are held in several copies on their way: the caller's, the frame or the request that
 carries it on, and what the connection has not sent yet. The account counts all of them.
 Large bodies may take only a part of the account, so that they never keep small ones out.
+A request that is still being received and makes no progress gives way to others.
 """
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Hashable
 
 import attrs
@@ -21,6 +23,10 @@
 LARGE_BODY_BYTES = 64 << 10
 # What large bodies may take of the account.
 LARGE_BODIES_RATIO = 0.5
+# A request being received makes progress if this much more of it arrives. Without progress
+# for the second time it gives way where there is no room.
+PROGRESS_BYTES = 16 << 10
+STALL_S = 0.25
 # What responses may take of the account, and what large ones may take of it.
 RESPONSES_RATIO = 0.5
 LARGE_RESPONSES_RATIO = 0.35
@@ -42,6 +48,19 @@
 PLATFORM_DESCRIPTORS_RATIO = 1 / 16
 
 
+@attrs.define
+class Receiving:
+    """A request that is still being received.
+
+    Attributes:
+        progressed_s: When it last made progress, on the monotonic clock.
+        progressed_bytes: What had been received of it then.
+    """
+
+    progressed_s: float
+    progressed_bytes: int
+
+
 @attrs.define
 class MemoryAccount:
     """The bodies that a node holds.
@@ -51,6 +70,9 @@
         held: The size in bytes of the bodies of each holder.
         small_bytes: The size of all small bodies.
         large_bytes: The size of all large bodies.
+        receiving_small: The holders of small bodies that are still being received, the
+            one without progress for longest first.
+        receiving_large: Those of large bodies.
         responses: The responses that the node holds.
     """
 
@@ -58,6 +80,8 @@
     held: dict[Hashable, int] = attrs.field(factory=dict)
     small_bytes: int = 0
     large_bytes: int = 0
+    receiving_small: OrderedDict[Hashable, Receiving] = attrs.field(factory=OrderedDict)
+    receiving_large: OrderedDict[Hashable, Receiving] = attrs.field(factory=OrderedDict)
     responses: HeldResponses = attrs.field(
         default=attrs.Factory(
             lambda self: plan_responses(self.limit_bytes), takes_self=True
@@ -133,9 +157,63 @@
 def release(account: MemoryAccount, holder: Hashable) -> None:
     """Release the room of a body and of the response to it, if it has any."""
     hold(account.responses, holder, 0, 0.0)
+    finish_receiving(account, holder)
     _release_body(account, holder)
 
 
+def note_received(
+    account: MemoryAccount, holder: Hashable, received_bytes: int, now_s: float
+) -> None:
+    """Record how much of a holder's request has been received.
+
+    Args:
+        account: Changed in place.
+        holder: Identifies the request.
+        received_bytes: What has been received of it.
+        now_s: The monotonic time.
+    """
+    is_large = account.held.get(holder, 0) > LARGE_BODY_BYTES
+    same, other = account.receiving_small, account.receiving_large
+    if is_large:
+        same, other = other, same
+    before = same.get(holder)
+    if before is not None and (
+        received_bytes - before.progressed_bytes < PROGRESS_BYTES
+    ):
+        return
+    other.pop(holder, None)
+    same[holder] = Receiving(now_s, received_bytes)
+    same.move_to_end(holder)
+
+
+def finish_receiving(account: MemoryAccount, holder: Hashable) -> None:
+    """Record that a request is complete, so that it gives way no more."""
+    account.receiving_small.pop(holder, None)
+    account.receiving_large.pop(holder, None)
+
+
+def find_stalled(
+    account: MemoryAccount, size_bytes: int, now_s: float
+) -> Hashable | None:
+    """Return the holder that gives way to a body, None if none has to.
+
+    Args:
+        account: The account.
+        size_bytes: The size of the body; only large bodies give way to a large one.
+        now_s: The monotonic time.
+    """
+    candidates = [account.receiving_large]
+    if size_bytes <= LARGE_BODY_BYTES:
+        candidates.append(account.receiving_small)
+    first = [next(iter(receiving.items())) for receiving in candidates if receiving]
+    stalled = [
+        (item.progressed_s, holder)
+        for holder, item in first
+        if now_s - item.progressed_s >= STALL_S
+    ]
+    return min(stalled, key=lambda item: item[0])[1] if stalled else None
+
+
 def _release_body(account: MemoryAccount, holder: Hashable) -> None:
     size_bytes = account.held.pop(holder, 0)
     if size_bytes > LARGE_BODY_BYTES:
--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -44,7 +44,6 @@
     plan_platform_connections,
     plan_unread_connections,
     plan_upstream_bytes,
-    release,
 )
 from agaterelay.core.model import CallerLimits
 from agaterelay.core.timeline import Timeline
@@ -55,7 +54,7 @@
     handle_announcement,
     handle_withdrawal,
 )
-from agaterelay.mesh.callers import limits_in_force, reserve_body
+from agaterelay.mesh.callers import limits_in_force, make_request_room
 from agaterelay.mesh.crashes import Crashes, list_suspects, release_request
 from agaterelay.mesh.feeds import apply_config
 from agaterelay.mesh.inbound import Inbound, WireFormat, treat_as_cold
@@ -293,9 +292,7 @@
         call_id = find_header(refusal.headers, headers.ATTEMPT_ID_KEY) or ""
         record_refused(node, refusal.reason, refusal.status, call_id)
 
-    account = node.inbound.account
-    reserve_room = partial(reserve_body, account)
-    release_room = partial(release, account)
+    room = make_request_room(node.links.room)
     max_unread_connections = plan_unread_connections(
         deployment.memory_mb << 20, MIN_READ_BYTES + RECEIVE_BUFFER_BYTES
     )
@@ -303,8 +300,7 @@
         handle_caller,
         partial(limits_in_force, node.state),
         record_refusal,
-        reserve_room,
-        release_room,
+        room,
         partial(hold_response, node.links.room),
         plan_connections(deployment.max_descriptors),
         partial(record_crowded, node.links.room),
@@ -319,8 +315,7 @@
         server = HttpServer(
             handle_platform,
             PLATFORM_LIMITS,
-            reserve=reserve_room,
-            release=release_room,
+            room=room,
             max_connections=plan_platform_connections(deployment.max_descriptors),
             on_crowded=partial(record_crowded, node.links.room),
             max_unread_connections=max_unread_connections,
--- a/agaterelay/mesh/callers.py
+++ b/agaterelay/mesh/callers.py
@@ -8,9 +8,16 @@
 import select
 
 from agaterelay.adapters.frames import MAX_BODY_BYTES
-from agaterelay.adapters.http_server import HttpRequest
-from agaterelay.core.memory_account import MemoryAccount, reserve
+from agaterelay.adapters.http_server import Holder, HttpRequest, RequestRoom
+from agaterelay.core.memory_account import (
+    find_stalled,
+    finish_receiving,
+    note_received,
+    release,
+    reserve,
+)
 from agaterelay.core.model import CallerLimits
+from agaterelay.mesh.response_room import ResponseRoom
 from agaterelay.mesh.state import MeshState
 
 # Without a configuration it is not known what is too long, and nothing can be served. Such
@@ -23,13 +30,44 @@
     return state.table.limits if state.table else UNKNOWN_LIMITS
 
 
-def reserve_body(account: MemoryAccount, holder: object, size_bytes: int) -> bool:
-    """Reserve room for the body of a request that may be passed on to another node.
+def make_request_room(room: ResponseRoom) -> RequestRoom:
+    """Return the functions by which a server reserves room in the node's account."""
+    account, clock = room.account, room.context.clock
+
+    def note_holder(holder: Holder, received_bytes: int) -> None:
+        note_received(account, holder, received_bytes, clock.monotonic_s())
+
+    return RequestRoom(
+        reserve=lambda holder, size_bytes: reserve_for_caller(room, holder, size_bytes),
+        release=lambda holder: release(account, holder),
+        note_received=note_holder,
+        finish_receiving=lambda holder: finish_receiving(account, holder),
+    )
+
+
+def reserve_for_caller(room: ResponseRoom, holder: Holder, size_bytes: int) -> bool:
+    """Reserve room for a request that may be passed on to another node.
+
+    Requests that make no progress give way to it.
 
     Returns:
         Whether there is room, and a frame can hold the body.
     """
-    return size_bytes <= MAX_BODY_BYTES and reserve(account, holder, size_bytes)
+    account = room.account
+    if size_bytes > MAX_BODY_BYTES:
+        return False
+    while not reserve(account, holder, size_bytes):
+        now_s = room.context.clock.monotonic_s()
+        stalled = find_stalled(account, size_bytes, now_s)
+        if stalled is None or stalled is holder:
+            return False
+        finish_receiving(account, stalled)
+        if stalled.give_way():
+            room.closed["stalled"] += 1
+            release(account, stalled)
+        else:
+            note_received(account, stalled, 0, now_s)
+    return True
 
 
 def has_disconnected(request: HttpRequest) -> bool:
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -12,6 +12,7 @@
     LINGERING_READ_S,
     HttpResponse,
     HttpServer,
+    RequestRoom,
 )
 from agaterelay.core.memory_account import MemoryAccount, release, reserve
 from agaterelay.core.model import CallerLimits
@@ -25,8 +26,9 @@
     refusals = []
     server = HttpServer(handler, lambda: CallerLimits(**limits), refusals.append)
     if account is not None:
-        server.reserve = functools.partial(reserve, account)
-        server.release = functools.partial(release, account)
+        server.room = RequestRoom(
+            functools.partial(reserve, account), functools.partial(release, account)
+        )
     server.refusals = refusals
     await server.listen("127.0.0.1:0")
     port = server._server.sockets[0].getsockname()[1]
--- a/tests/core/test_memory_account.py
+++ b/tests/core/test_memory_account.py
@@ -6,7 +6,12 @@
 from agaterelay.core.memory_account import (
     COPIES_PER_BODY,
     LARGE_BODY_BYTES,
+    PROGRESS_BYTES,
+    STALL_S,
     MemoryAccount,
+    find_stalled,
+    finish_receiving,
+    note_received,
     plan_limit_bytes,
     release,
     reserve,
@@ -47,6 +52,44 @@
     assert plan_limit_bytes(memory_mb << 20) < 0.6 * (memory_mb << 20)
 
 
+def receive(account, holder, size_bytes, now_s):
+    assert reserve(account, holder, size_bytes)
+    note_received(account, holder, 1, now_s)
+
+
+def test_the_request_without_progress_for_longest_gives_way():
+    account = MemoryAccount(LIMIT_BYTES)
+    receive(account, "first", SMALL, 0.0)
+    receive(account, "second", SMALL, 0.1)
+    assert find_stalled(account, SMALL, STALL_S / 2) is None
+    note_received(account, "first", PROGRESS_BYTES + 1, STALL_S)
+    note_received(account, "second", PROGRESS_BYTES - 1, STALL_S)
+    assert find_stalled(account, SMALL, 0.2 + STALL_S) == "second"
+    release(account, "second")
+    assert find_stalled(account, SMALL, 0.2 + STALL_S) is None
+    assert find_stalled(account, SMALL, 2 * STALL_S) == "first"
+
+
+def test_a_complete_request_gives_way_no_more():
+    account = MemoryAccount(LIMIT_BYTES)
+    receive(account, "a", SMALL, 0.0)
+    finish_receiving(account, "a")
+    assert find_stalled(account, SMALL, 10.0) is None
+    assert account.held == {"a": SMALL}
+
+
+def test_only_large_bodies_give_way_to_a_large_one():
+    account = MemoryAccount(LIMIT_BYTES)
+    receive(account, "small", SMALL, 0.0)
+    receive(account, "grows", SMALL, 0.0)
+    receive(account, "grows", LARGE, 0.1)
+    note_received(account, "grows", LARGE, 0.1)
+    assert find_stalled(account, LARGE, 10.0) == "grows"
+    assert find_stalled(account, SMALL, 10.0) == "small"
+    release(account, "grows")
+    assert find_stalled(account, LARGE, 10.0) is None
+
+
 operations = st.tuples(
     st.integers(0, 5),
     st.sampled_from([0, 1, SMALL, LARGE_BODY_BYTES, LARGE, 5 * LARGE]),
--- a/tests/mesh/test_caller_limits.py
+++ b/tests/mesh/test_caller_limits.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from agaterelay.core.memory_account import STALL_S
 from standins.store import put_row
 from tests.mesh.fleet import (
     ROUTES,
@@ -267,3 +268,28 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+# Guards against callers that keep all room by stopping short of the end of their bodies.
+def test_a_body_that_stalls_gives_way_and_its_caller_may_come_again():
+    async def scenario():
+        async with running_fleet(("desk",)) as fleet:
+            account = fleet.hosts[0].node.inbound.account
+            account.limit_bytes = 3 * 70_000
+            stalled_reader, stalled_writer = await connect(fleet)
+            head = HEAD.replace(b"GET", b"POST") + b"Content-Length: 60000\r\n\r\n"
+            stalled_writer.write(head + b"a" * 59_999)
+            await wait_until(lambda: account.small_bytes == 60_000)
+            await asyncio.sleep(2 * STALL_S)
+            reader, writer = await connect(fleet)
+            await post(writer, 60_000)
+            assert status_of(await reader.readuntil(b"\r\n\r\n")) == 200
+            answer = await read_to_end(stalled_reader)
+            assert status_of(answer) == 503
+            assert b"Retry-After: 1.000" in answer
+            assert account.used_bytes == 0
+            assert sum(fleet.hosts[0].instance.ran.values()) == 1
+            stalled_writer.close()
+            writer.close()
+
+    asyncio.run(scenario())
