Serve a single body of any legal size in calm

Callers saw: 503 for each body from 16 MiB on at an idle node of 200 MB, from 24 MiB on at one of 300 MB, where operators allow 64 MiB.

Cause: a body was copied from the buffer that it was read into, into one frame or request, and into a transport's buffer; the node of the upstream copied it as often. A frame holds 24 MiB at most, and frames being received were in no account.

Change: a body over 64 KiB is held once. It is written to the upstream in parts, as it is read. To another node it goes in parts of 64 KiB, after that node has reserved room for all of it; the call begins with the last part, so until then it is truly not run. Other frames of the link go between two parts. HELLO says whether a node takes parts; others get bodies in one frame as before, or the call is placed elsewhere. Large bodies may still take half of the account together; a single one may take 0.85 of it while responses take little, so a node of 200 MB takes 64 MiB. The plan of bodies without copies replaces parts with credit, which docs/design/memory.md weighed: retries stay as they are, as the caller's node holds all of it.

Tests changed: large bodies have to leave half of the room to small ones as before, counted with their new size; two tests of a body without room now lower the account, as the body that they sent is served; HELLO has two items more, of which earlier builds read the first.

--- a/agaterelay/adapters/frames.py
+++ b/agaterelay/adapters/frames.py
@@ -56,6 +56,8 @@
     START = 21
     OFFER_RESULT = 24
     GRANT_RESULT = 25
+    WANT_BODY = 26
+    BODY_PART = 27
 
 
 def configure_socket(tcp_socket: socket.socket, user_timeout_ms: int) -> None:
@@ -87,6 +89,8 @@
         self._on_open = on_open
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
+        # Done once the transport takes more; None while it does.
+        self._writable: asyncio.Future[None] | None = None
         # The peer's host; empty until a frame of the peer names it.
         self.host = ""
 
@@ -123,6 +127,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the lost link with the reason."""
         self._transport = None
+        self.resume_writing()
         self._on_lost(self, type(exc).__name__ if exc else "closed")
 
     @property
@@ -148,6 +153,21 @@
             self._transport.write(packed)
         return True
 
+    def pause_writing(self) -> None:
+        """Let ``drain`` wait until the peer has read more."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let ``drain`` return."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    async def drain(self) -> None:
+        """Wait until the link takes more frames, or is lost."""
+        if self._writable is not None:
+            await asyncio.shield(self._writable)
+
     def close(self) -> None:
         """Close after the buffered frames are sent."""
         if self._transport is not None:
--- a/agaterelay/adapters/http_pool.py
+++ b/agaterelay/adapters/http_pool.py
@@ -25,6 +25,8 @@
 # that no call is sent on a connection that the upstream is closing.
 IDLE_TIMEOUT_RATIO = 0.7
 DEFAULT_IDLE_TIMEOUT_S = 4.0
+# Longer bodies are written in parts of this size, each when the one before is sent.
+SENT_PART_BYTES = 64 << 10
 # A host has at least 200 MB of memory, and a response is copied several times on its
 # way to the caller.
 MAX_RESPONSE_BYTES = 16 << 20
@@ -112,6 +114,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[ReceivedResponse] | None = None
         self._call_id = b""
+        self._unsent = memoryview(b"")
+        self._is_writable = True
         self._head_only = False
         self._eof_received = False
         self._reset_response()
@@ -146,7 +150,7 @@
         configure_socket(tcp_socket, self._user_timeout_ms)
 
     def send(
-        self, head: bytes, body: bytes, call_id: bytes, head_only: bool
+        self, head: bytes, body: bytes | bytearray, call_id: bytes, head_only: bool
     ) -> asyncio.Future[ReceivedResponse]:
         """Send a call and return the future of its response.
 
@@ -166,9 +170,30 @@
         self._framing_bytes = self._framing_since_body_bytes = 0
         self._body_bytes = self._response_count = 0
         self._waiter = asyncio.get_running_loop().create_future()
-        self._transport.write(head + body if body else head)
+        if len(body) <= SENT_PART_BYTES:
+            self._transport.write(head + body if body else head)
+        else:
+            self._transport.write(head)
+            self._unsent = memoryview(body)
+            self._send_parts()
         return self._waiter
 
+    def _send_parts(self) -> None:
+        """Write parts of a long body until the transport has enough of them."""
+        while self._unsent and self._is_writable and self.open:
+            part = self._unsent[:SENT_PART_BYTES]
+            self._unsent = self._unsent[SENT_PART_BYTES:]
+            self._transport.write(part)
+
+    def pause_writing(self) -> None:
+        """Let the rest of a body wait until the upstream has read more of it."""
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        """Go on with a body."""
+        self._is_writable = True
+        self._send_parts()
+
     def close(self) -> None:
         """Reset the connection, which makes the upstream cancel the call on it."""
         self.reusable = False
@@ -234,6 +259,7 @@
 
     def _fail(self, reason: str) -> None:
         waiter, self._waiter = self._waiter, None
+        self._unsent = memoryview(b"")
         if waiter is not None and not waiter.done():
             waiter.set_exception(AnswerLostError(reason))
 
@@ -322,7 +348,8 @@
         if b"close" in keys.get(b"connection", b"").lower():
             self.reusable = False
         transport = self._transport
-        if transport is not None and transport.get_write_buffer_size():
+        unsent, self._unsent = self._unsent, memoryview(b"")
+        if unsent or (transport is not None and transport.get_write_buffer_size()):
             # The upstream responded before it had read the whole request.
             self.reusable = False
         if not waiter.done():
@@ -425,7 +452,9 @@
         self._idle.clear()
 
 
-def render_head(method: str, path: str, headers: RawHeaders, body: bytes) -> bytes:
+def render_head(
+    method: str, path: str, headers: RawHeaders, body: bytes | bytearray
+) -> bytes:
     """Return the request line and headers, with ``Content-Length`` for a body."""
     lines = [f"{method} {path} HTTP/1.1".encode()]
     lines += [name + b": " + value for name, value in headers]
--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -42,7 +42,8 @@
 # The event loop accepts this many connections before it handles the first of them, so
 # that the limit of connections is exceeded by little.
 ACCEPTS_PER_TURN = 16
-# Longer bodies are not copied to send them together with their heads.
+# Longer bodies are not copied, neither to send them together with their heads nor to make
+# them immutable.
 MAX_JOINED_BYTES = 64 << 10
 # Callers reuse a connection for up to four fifths of the idle limit, so it stays open
 # for a little longer than the limit.
@@ -110,7 +111,7 @@
     method: str
     target: str
     headers: RawHeaders
-    body: bytes = attrs.field(repr=False)
+    body: bytes | bytearray = attrs.field(repr=False)
     received_s: float
     keep_alive: bool
     version: str
@@ -717,11 +718,12 @@
         self._in_head = self._in_body = False
         if self._reading_ended:
             return
+        is_long = len(self._body) > MAX_JOINED_BYTES
         request = HttpRequest(
             method=self._parser.get_method().decode("ascii"),
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
-            body=bytes(self._body),
+            body=self._body if is_long else bytes(self._body),
             received_s=self._last_received_s,
             keep_alive=self._parser.should_keep_alive(),
             version=self._parser.get_http_version(),
--- a/agaterelay/core/call.py
+++ b/agaterelay/core/call.py
@@ -24,7 +24,7 @@
     method: str
     path: str
     headers: RawHeaders
-    body: bytes = attrs.field(repr=False)
+    body: bytes | bytearray = attrs.field(repr=False)
     route: str
     service: str
     version: str
--- a/agaterelay/core/crash_suspects.py
+++ b/agaterelay/core/crash_suspects.py
@@ -56,7 +56,7 @@
     reports: dict[str, None] = attrs.field(factory=dict)
 
 
-def request_key(service: str, method: str, path: str, body: bytes) -> Key:
+def request_key(service: str, method: str, path: str, body: bytes | bytearray) -> Key:
     """Return what identifies a request when it is tried again."""
     head = f"{service}\n{method}\n{path}\n{len(body)}\n".encode()
     hashed = blake2b(head, digest_size=KEY_BYTES)
--- a/agaterelay/core/memory_account.py
+++ b/agaterelay/core/memory_account.py
@@ -1,8 +1,9 @@
 """Decide which bodies of requests a node takes, so that they fit into its memory.
 
-Bodies are held in several copies on their way: the caller's, the frame or the request that
-carries it on, and what the connection has not sent yet. The account counts all of them.
-Large bodies may take only a part of the account, so that they never keep small ones out.
+Small bodies are held in several copies on their way: the caller's, the frame or the request
+that carries it on, and what the connection has not sent yet. Large ones are held once, and
+are sent in parts. The account counts all of it. Large bodies may take only a part of the
+account, so that they never keep small ones out.
 A request that is still being received and makes no progress gives way to others.
 """
 
@@ -19,10 +20,15 @@
     hold,
 )
 
-COPIES_PER_BODY = 3
+COPIES_PER_SMALL_BODY = 3
 LARGE_BODY_BYTES = 64 << 10
-# What large bodies may take of the account.
+# The parts of a large body that are on their way.
+LARGE_BODY_PARTS_BYTES = 128 << 10
+# What large bodies may take of the account together, and what a single one may take while
+# responses take little, so that a node of 200 MB takes one of 64 MiB.
 LARGE_BODIES_RATIO = 0.5
+SINGLE_LARGE_BODY_RATIO = 0.85
+FEW_RESPONSES_RATIO = 0.05
 # A request being received makes progress if this much more of it arrives. Without progress
 # for the second time it gives way where there is no room.
 PROGRESS_BYTES = 16 << 10
@@ -70,6 +76,7 @@
         held: The size in bytes of the bodies of each holder.
         small_bytes: The size of all small bodies.
         large_bytes: The size of all large bodies.
+        large_count: The number of large bodies.
         receiving_small: The holders of small bodies that are still being received, the
             one without progress for longest first.
         receiving_large: Those of large bodies.
@@ -80,6 +87,7 @@
     held: dict[Hashable, int] = attrs.field(factory=dict)
     small_bytes: int = 0
     large_bytes: int = 0
+    large_count: int = 0
     receiving_small: OrderedDict[Hashable, Receiving] = attrs.field(factory=OrderedDict)
     receiving_large: OrderedDict[Hashable, Receiving] = attrs.field(factory=OrderedDict)
     responses: HeldResponses = attrs.field(
@@ -91,7 +99,12 @@
     @property
     def used_bytes(self) -> int:
         """What the bodies of requests take, with their copies."""
-        return COPIES_PER_BODY * (self.small_bytes + self.large_bytes)
+        return COPIES_PER_SMALL_BODY * self.small_bytes + self.large_used_bytes
+
+    @property
+    def large_used_bytes(self) -> int:
+        """What the large bodies take, with their parts that are being sent."""
+        return self.large_bytes + LARGE_BODY_PARTS_BYTES * self.large_count
 
 
 def plan_limit_bytes(memory_bytes: int) -> int:
@@ -218,21 +231,27 @@
     size_bytes = account.held.pop(holder, 0)
     if size_bytes > LARGE_BODY_BYTES:
         account.large_bytes -= size_bytes
+        account.large_count -= 1
     else:
         account.small_bytes -= size_bytes
 
 
 def _has_room(account: MemoryAccount, size_bytes: int) -> bool:
-    added_bytes = COPIES_PER_BODY * size_bytes
+    is_large = size_bytes > LARGE_BODY_BYTES
+    added_bytes = COPIES_PER_SMALL_BODY * size_bytes
+    if is_large:
+        added_bytes = size_bytes + LARGE_BODY_PARTS_BYTES
     response_bytes = account.responses.total_bytes
     if account.used_bytes + added_bytes + response_bytes > account.limit_bytes:
         return False
+    if not is_large:
+        return True
+    few_responses = response_bytes <= FEW_RESPONSES_RATIO * account.limit_bytes
+    is_single = not account.large_count and few_responses
+    ratio = SINGLE_LARGE_BODY_RATIO if is_single else LARGE_BODIES_RATIO
     # Responses take their room from that of large bodies, so small ones keep theirs.
-    large_limit_bytes = LARGE_BODIES_RATIO * account.limit_bytes - response_bytes
-    return (
-        size_bytes <= LARGE_BODY_BYTES
-        or COPIES_PER_BODY * account.large_bytes + added_bytes <= large_limit_bytes
-    )
+    large_limit_bytes = ratio * account.limit_bytes - response_bytes
+    return account.large_used_bytes + added_bytes <= large_limit_bytes
 
 
 def _hold(account: MemoryAccount, holder: Hashable, size_bytes: int) -> None:
@@ -241,5 +260,6 @@
     account.held[holder] = size_bytes
     if size_bytes > LARGE_BODY_BYTES:
         account.large_bytes += size_bytes
+        account.large_count += 1
     else:
         account.small_bytes += size_bytes
--- a/agaterelay/mesh/callers.py
+++ b/agaterelay/mesh/callers.py
@@ -7,7 +7,6 @@
 
 import select
 
-from agaterelay.adapters.frames import MAX_BODY_BYTES
 from agaterelay.adapters.http_server import Holder, HttpRequest, RequestRoom
 from agaterelay.core.memory_account import (
     find_stalled,
@@ -51,11 +50,9 @@
     Requests that make no progress give way to it.
 
     Returns:
-        Whether there is room, and a frame can hold the body.
+        Whether there is room.
     """
     account = room.account
-    if size_bytes > MAX_BODY_BYTES:
-        return False
     while not reserve(account, holder, size_bytes):
         now_s = room.context.clock.monotonic_s()
         stalled = find_stalled(account, size_bytes, now_s)
--- a/agaterelay/mesh/link.py
+++ b/agaterelay/mesh/link.py
@@ -45,6 +45,9 @@
             the load was last known to be of, None if there was none.
         asks_for_start: Whether the other node asks before it starts a call that must not
             run twice.
+        takes_parts: Whether the other node takes the long body of a call in parts.
+        wanted_bodies: For each pending call with such a body, done once the other node
+            has asked for it.
     """
 
     host: str
@@ -61,10 +64,27 @@
     lost_s: float = 0.0
     start: tuple[str, int] | None = None
     asks_for_start: bool = False
+    takes_parts: bool = False
+    wanted_bodies: dict[int, asyncio.Future[None]] = attrs.field(factory=dict)
     load: TargetLoad = attrs.field(factory=TargetLoad)
     dialer: asyncio.Task[None] | None = None
 
 
+@attrs.define
+class IncomingBody:
+    """A body whose parts are being received.
+
+    Attributes:
+        size_bytes: The size of the whole body.
+        received: What has been received of it.
+        complete: Done once all of it has been received.
+    """
+
+    size_bytes: int
+    complete: asyncio.Future[None]
+    received: bytearray = attrs.field(factory=bytearray, repr=False)
+
+
 @attrs.define
 class Documents:
     """Recent configuration documents of this node, and frames to send the newest.
@@ -96,6 +116,8 @@
         room: The responses that this node holds.
         offers: The results that await a grant of the calling node, by connection and
             number.
+        incoming_bodies: The bodies of calls that are received in parts, by connection
+            and number.
         own_load: The load of this host's own upstream.
         loads: The loads of other hosts' upstreams, by host; they outlive the links.
         handle_question: Called with a question for a grant or a loan.
@@ -123,6 +145,9 @@
     start_answers: dict[tuple[FrameConnection, int], asyncio.Future[None]] = (
         attrs.field(factory=dict)
     )
+    incoming_bodies: dict[tuple[FrameConnection, int], IncomingBody] = attrs.field(
+        factory=dict
+    )
     next_number: int = 0
     accepted: set[FrameConnection] = attrs.field(factory=set)
     refused: set[tuple[str, str]] = attrs.field(factory=set)
--- a/agaterelay/mesh/links.py
+++ b/agaterelay/mesh/links.py
@@ -17,7 +17,9 @@
 from functools import partial
 from typing import Any
 
-from agaterelay.adapters.frames import Frame, FrameConnection
+import attrs
+
+from agaterelay.adapters.frames import MAX_BODY_BYTES, Frame, FrameConnection
 from agaterelay.core.call import Call
 from agaterelay.core.call_start import CallStart, give_up_call, permit_start
 from agaterelay.core.checked import (
@@ -36,8 +38,22 @@
 from agaterelay.core.trial import RouteTallies
 from agaterelay.events import EventKind
 from agaterelay.mesh.allotments import handle_reply
+from agaterelay.mesh.body_parts import (
+    MAX_WHOLE_BODY_BYTES,
+    handle_body_part,
+    handle_wanted_body,
+    receive_body,
+    send_body,
+)
 from agaterelay.mesh.crashes import handle_crashes, send_known_crashes
-from agaterelay.mesh.inbound import CallResult, report_load, run_call, tallies_since
+from agaterelay.mesh.inbound import (
+    DRAINING_RETRY_S,
+    CallResult,
+    find_refusal_reason,
+    report_load,
+    run_call,
+    tallies_since,
+)
 from agaterelay.mesh.link import NEVER_S, Link, LinkDownError, Links
 from agaterelay.mesh.notifications import (
     handle_hello,
@@ -255,7 +271,7 @@
     forget_failures(link.load)
     pending, link.pending = link.pending, {}
     link.starts.clear()
-    link.asks_for_start = False
+    link.asks_for_start = link.takes_parts = False
     granted, link.granted = link.granted, set()
     for number in granted:
         release_result(links.room, ("granted", number))
@@ -293,9 +309,16 @@
         asks_for_start = len(frame) > 4 and check_flag(frame[4])
         # Nodes of earlier builds send no flag, and take long results without an offer.
         takes_offers = len(frame) > 5 and check_flag(frame[5])
+        body_bytes = check_whole(frame[6]) if len(frame) > 6 else 0
         task = asyncio.create_task(
             _serve_call(
-                links, connection, number, frame[2], asks_for_start, takes_offers
+                links,
+                connection,
+                number,
+                frame[2],
+                asks_for_start,
+                takes_offers,
+                body_bytes,
             )
         )
         links.running[connection, number] = task
@@ -313,6 +336,8 @@
         answer = links.start_answers.get((connection, check_whole(frame[1])))
         if answer is not None and not answer.done():
             answer.set_result(None)
+    elif kind == Frame.BODY_PART:
+        handle_body_part(links, connection, check_whole(frame[1]), frame[2])
     elif kind == Frame.GRANT_RESULT:
         offered = links.offers.get((connection, check_whole(frame[1])))
         if offered is not None and not offered.done():
@@ -372,6 +397,7 @@
     encoded: list[Any],
     asks_for_start: bool,
     takes_offers: bool,
+    body_bytes: int,
 ) -> None:
     """Run another node's call, and send the result.
 
@@ -382,6 +408,7 @@
         encoded: The call.
         asks_for_start: Whether the other node has to permit the start of the call.
         takes_offers: Whether the other node takes a long result once it is offered.
+        body_bytes: The size of the body that follows in parts, 0 if none does.
     """
     try:
         call = decode_call(encoded, links.context.clock.monotonic_s())
@@ -393,7 +420,10 @@
         may_start = None
         if asks_for_start:
             may_start = partial(_ask_for_start, links, connection, number)
-        result = await _run_received_call(links, call, may_start)
+        receive = None
+        if body_bytes:
+            receive = partial(receive_body, links, connection, number, body_bytes)
+        result = await _run_received_call(links, call, may_start, body_bytes, receive)
         outcome = result.outcome
         if isinstance(outcome, Answered) and (
             len(outcome.body) > LARGE_RESPONSE_BYTES and takes_offers
@@ -475,15 +505,38 @@
 
 
 async def _run_received_call(
-    links: Links, call: Call, may_start: Callable[[], Awaitable[bool]] | None
+    links: Links,
+    call: Call,
+    may_start: Callable[[], Awaitable[bool]] | None,
+    body_bytes: int,
+    receive: Callable[[float], Awaitable[bytearray]] | None,
 ) -> CallResult:
-    """Run another node's call, if there is room for its body."""
+    """Run another node's call, if there is room for its body.
+
+    Args:
+        links: The links.
+        call: The call.
+        may_start: Returns whether the call may start; None if no permission is needed.
+        body_bytes: The size of the body that follows in parts, 0 if none does.
+        receive: Returns that body, given how long it may take in seconds.
+    """
     account = links.inbound.account
     holder = object()
-    if not reserve(account, holder, len(call.body)):
+    refusal = find_refusal_reason(links.inbound)
+    if receive is not None and refusal is not None:
+        outcome = NotRun(refusal, DRAINING_RETRY_S)
+        return CallResult(outcome, False, report_load(links.inbound))
+    if not reserve(account, holder, body_bytes or len(call.body)):
         outcome = NotRun("there is no room for the body", NO_ROOM_RETRY_S)
         return CallResult(outcome, False, report_load(links.inbound))
     try:
+        if receive is not None:
+            remaining_s = call.deadline_s - links.context.clock.monotonic_s()
+            try:
+                call = attrs.evolve(call, body=await receive(remaining_s))
+            except TimeoutError:
+                outcome = NotRun("the body did not come in time", NO_ROOM_RETRY_S)
+                return CallResult(outcome, False, report_load(links.inbound))
         return await run_call(links.inbound, call, may_start)
     except Exception as error:
         record_failed_step(links.context, "run a call", error)
@@ -518,6 +571,8 @@
             future.set_result(result)
         record_load_report(link.load, result.report, now_s)
         handle_revision(links, link.connection, frame[3])
+    elif kind == Frame.WANT_BODY:
+        handle_wanted_body(link, check_whole(frame[1]))
     elif kind == Frame.MAY_START:
         start = link.starts.get(check_whole(frame[1]))
         permitted = start is not None and permit_start(start)
@@ -535,6 +590,7 @@
     elif kind in MEMBERSHIP_FRAMES:
         if kind == Frame.HELLO:
             link.asks_for_start = len(frame) > 10 and check_flag(frame[10])
+            link.takes_parts = len(frame) > 12 and check_flag(frame[12])
         _handle_membership_frame(links, link.connection, frame)
     elif kind == Frame.CRASHES:
         handle_crashes(links.inbound.crashes, link.connection, frame)
@@ -607,22 +663,37 @@
     link = links.links.get(host)
     if link is None or link.connection is None:
         raise LinkDownError(host)
+    in_parts = link.takes_parts and len(call.body) > MAX_WHOLE_BODY_BYTES
+    if not in_parts and len(call.body) > MAX_BODY_BYTES:
+        # A node of an earlier build can't receive it.
+        raise LinkDownError(host)
     links.next_number += 1
     number = links.next_number
     future: asyncio.Future[CallResult] = asyncio.get_running_loop().create_future()
     now_s = links.context.clock.monotonic_s()
     revision = revision_of(links.state)
     asks_for_start = not call.idempotent and link.asks_for_start
+    sent = attrs.evolve(call, body=b"") if in_parts else call
     frame = [
-        Frame.CALL, number, encode_call(call, now_s), revision, asks_for_start, True
+        Frame.CALL, number, encode_call(sent, now_s), revision, asks_for_start, True
     ]  # fmt: skip
+    if in_parts:
+        frame.append(len(call.body))
     if not link.connection.send(frame):
         raise LinkDownError(host)
     link.pending[number] = future
     link.holders[number] = call.holder
+    sending = None
+    if in_parts:
+        wanted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        link.wanted_bodies[number] = wanted
+        permits = None if asks_for_start else start
+        sending = asyncio.create_task(
+            send_body(link.connection, number, call.body, wanted, permits)
+        )
     if asks_for_start:
         link.starts[number] = start
-    else:
+    elif not in_parts:
         permit_start(start)
     if call.idempotent and not call.last_attempt:
         link.retryable.add(number)
@@ -643,6 +714,9 @@
         raise
     finally:
         load.own -= 1
+        if sending is not None:
+            sending.cancel()
+        link.wanted_bodies.pop(number, None)
         link.retryable.discard(number)
         link.starts.pop(number, None)
         link.holders.pop(number, None)
--- a/agaterelay/mesh/notifications.py
+++ b/agaterelay/mesh/notifications.py
@@ -63,8 +63,10 @@
     frame = _build_news_frame(links, [state.own], [])
     view = list(view_fingerprint(state))
     known, later = frame[1:NEWS_LENGTH], frame[NEWS_LENGTH:]
-    # The flag says that this node asks before it starts a call.
-    connection.send([Frame.HELLO, *known, view, member_count, True, *later])
+    evacuations = later[0] if later else []
+    # The flags say that this node asks before it starts a call, and that it takes the
+    # long body of a call in parts.
+    connection.send([Frame.HELLO, *known, view, member_count, True, evacuations, True])
 
 
 def _build_news_frame(
--- a/agaterelay/mesh/request_state.py
+++ b/agaterelay/mesh/request_state.py
@@ -38,7 +38,7 @@
     host: str
     path: str
     headers: RawHeaders = attrs.field(repr=False)
-    body: bytes = attrs.field(repr=False)
+    body: bytes | bytearray = attrs.field(repr=False)
     wait_ms: int | None = None
     workspace: str = ""
     credential: Credential = NO_CREDENTIAL
--- a/tests/adapters/test_http_pool.py
+++ b/tests/adapters/test_http_pool.py
@@ -11,6 +11,7 @@
 import pytest
 
 from agaterelay.adapters.http_pool import (
+    SENT_PART_BYTES,
     AnswerLostError,
     HttpPool,
     PooledConnection,
@@ -288,3 +289,46 @@
         assert (await waiting).body == b"next"
 
     asyncio.run(scenario())
+
+
+class SlowTransport(FakeTransport):
+    """Takes parts until it is told to have enough of them."""
+
+    def __init__(self):
+        self.written = []
+
+    def write(self, data):
+        self.written.append(bytes(data))
+
+
+def test_a_long_body_is_written_in_parts_as_the_upstream_reads_it():
+    async def scenario():
+        connection = PooledConnection(b"x-id", print, ResponseMemory(1 << 20), 1000)
+        transport = SlowTransport()
+        connection._transport = transport
+        connection.pause_writing()
+        body = bytearray(b"abcd" * (SENT_PART_BYTES // 2))
+        connection.send(b"head", body, b"one", False)
+        assert transport.written == [b"head"]
+        connection.resume_writing()
+        assert [len(part) for part in transport.written[1:]] == [SENT_PART_BYTES] * 2
+        assert b"".join(transport.written) == b"head" + body
+
+    asyncio.run(scenario())
+
+
+# Guards against the rest of a body that is read as the head of the next request.
+def test_a_connection_whose_answer_came_before_the_whole_body_is_not_used_again():
+    async def scenario():
+        connection = PooledConnection(b"x-id", print, ResponseMemory(1 << 20), 1000)
+        transport = SlowTransport()
+        connection._transport = transport
+        connection.pause_writing()
+        answer = connection.send(b"head", bytes(2 * SENT_PART_BYTES), b"one", False)
+        connection.data_received(HEAD + b"Content-Length: 0\r\n\r\n")
+        assert (await answer).status == 200
+        assert not connection.open
+        connection.resume_writing()
+        assert transport.written == [b"head"]
+
+    asyncio.run(scenario())
--- a/tests/core/test_memory_account.py
+++ b/tests/core/test_memory_account.py
@@ -4,8 +4,9 @@
 from hypothesis import given, strategies as st
 
 from agaterelay.core.memory_account import (
-    COPIES_PER_BODY,
+    COPIES_PER_SMALL_BODY,
     LARGE_BODY_BYTES,
+    LARGE_BODY_PARTS_BYTES,
     PROGRESS_BYTES,
     STALL_S,
     MemoryAccount,
@@ -25,15 +26,23 @@
 def test_large_bodies_leave_half_of_the_room_to_small_ones():
     account = MemoryAccount(LIMIT_BYTES)
     taken = sum(reserve(account, f"large {number}", LARGE) for number in range(20))
-    assert taken == 5
+    assert taken == LIMIT_BYTES // 2 // (LARGE + LARGE_BODY_PARTS_BYTES)
     assert all(reserve(account, number, SMALL) for number in range(5000))
     assert account.used_bytes <= LIMIT_BYTES
 
 
+def test_a_single_large_body_may_take_more_and_leaves_room_to_small_ones():
+    account = MemoryAccount(plan_limit_bytes(200 << 20))
+    assert reserve(account, "largest", 64 << 20)
+    assert not reserve(account, "large", LARGE)
+    assert all(reserve(account, number, SMALL) for number in range(4000))
+    assert account.used_bytes <= account.limit_bytes
+
+
 def test_small_bodies_are_bounded_too():
     account = MemoryAccount(LIMIT_BYTES)
     taken = sum(reserve(account, number, LARGE_BODY_BYTES) for number in range(2000))
-    assert taken == LIMIT_BYTES // (COPIES_PER_BODY * LARGE_BODY_BYTES)
+    assert taken == LIMIT_BYTES // (COPIES_PER_SMALL_BODY * LARGE_BODY_BYTES)
 
 
 def test_a_body_that_grows_keeps_what_it_has_when_there_is_no_more_room():
--- a/tests/mesh/test_caller_limits.py
+++ b/tests/mesh/test_caller_limits.py
@@ -214,6 +214,7 @@
                 lambda: fleet.hosts[1].node.state.table.limits.max_body_bytes > 1 << 20
             )
             account = fleet.hosts[0].node.inbound.account
+            account.limit_bytes = 24 << 20
             reader, writer = await connect(fleet)
             head = HEAD.replace(b"GET", b"POST")
             if is_chunked:
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -163,15 +163,17 @@
                 return sent[0], news
 
             hello, news = frames()
-            # The first ten items, and a flag that the previous build ignores.
-            assert (len(hello), len(news)) == (11, 8)
+            # Earlier builds know the first twelve items, or fewer of them.
+            assert (len(hello), len(news)) == (13, 8)
+            assert hello[10:] == [True, [], True]
             await put_row(fleet.store, "op", KEY, b"1")
             await wait_until(lambda: links.state.evacuations)
             hello_after, news_after = frames()
-            assert (hello_after[:11], news_after[:8]) == (hello, news)
+            assert (hello_after[:11], news_after[:8]) == (hello[:11], news)
             (evacuation,) = links.state.evacuations.values()
             encoded = [[["b", evacuation.number, True]]]
-            assert hello_after[11:] == news_after[8:] == encoded
+            assert hello_after[11:] == [*encoded, True]
+            assert news_after[8:] == encoded
 
     asyncio.run(scenario())
 
