Hold no answered request whose room is released

Callers saw: nothing yet; found by reading. A connection whose input waited counted as idle, so it could be closed for a new one.

Evidence: the new test in tests/adapters/test_http_server.py failed before.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -156,6 +156,8 @@
 class Holder:
     """Identifies a request where room for it is reserved."""
 
+    __slots__ = ("_connection",)
+
     def __init__(self, connection: ServerConnection) -> None:
         self._connection = connection
 
@@ -460,6 +462,7 @@
         self.transport = None
         self._server.forget(self)
         self._unhandled = None
+        self._headers = []
         self._drop_body()
         self._drop_waiting()
         if self.task is not None:
@@ -732,7 +735,8 @@
         )
         if self._reserved_bytes:
             self._server.room.finish_receiving(self._holder)
-        self._holder, self._body = Holder(self), bytearray()
+        # The request's memory is free once it is answered, also on an idle connection.
+        self._holder, self._body, self._headers = Holder(self), bytearray(), []
         self._reading_ended = not request.keep_alive
         self._waiting.append(request)
 
@@ -745,6 +749,7 @@
         self._reading_ended = True
         self._drop_body()
         refusal = Refusal(status.value, reason, tuple(self._headers), retry_after_s)
+        self._headers = []
         self._waiting.append(refusal)
         if self.task is None:
             self.task = self._loop.create_task(self._answer_waiting())
@@ -757,8 +762,12 @@
                 item = self._waiting.popleft()
                 self._resume_reading()
                 self.turn_began_s = turn_began_s
-                if await self._answer(item):
-                    self._close_after_answer(isinstance(item, Refusal))
+                is_refusal = isinstance(item, Refusal)
+                closes = await self._answer(item)
+                # It is not held while its caller reads the answer.
+                del item
+                if closes:
+                    self._close_after_answer(is_refusal)
                     return
                 if self._writable is not None:
                     await self._writable
@@ -887,6 +896,7 @@
     def idle(self) -> bool:
         """Whether no request is being received or answered, and nothing is unread."""
         in_request = self._in_head or self._in_body or self.task is not None
+        in_request = in_request or self._unhandled is not None
         return not in_request and not self.unsent_bytes
 
     @property
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -5,6 +5,7 @@
 import functools
 import socket
 import tracemalloc
+import weakref
 
 import pytest
 
@@ -555,3 +556,27 @@
             assert (await read_answer(used_reader))[0] == 200
 
     run(scenario)
+
+
+# Guards against requests that are held although their room is released.
+def test_a_request_is_not_held_while_its_caller_reads_the_answer_or_is_idle():
+    requests = []
+
+    async def answer_largely(request):
+        requests.append(weakref.ref(request))
+        return HttpResponse(200, (), bytes(12 << 20))
+
+    async def scenario():
+        async with serving(answer_largely) as (server, connect):
+            reader, writer = await connect()
+            writer.write(get("/a"))
+            async with asyncio.timeout(TIMEOUT_S):
+                while not server.unsent_bytes:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            assert requests[0]() is None
+            (connection,) = server.connections
+            assert not connection._headers
+            await read_answer(reader)
+
+    run(scenario)
