Play crowds of callers in the soak test

They are planned apart from the faults, so the plans of earlier seeds stay the same. The crowd program ends with its time also while its input stays open.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,7 @@
 
 from soak.addresses import find_free_networks
 from soak.callers import Callers, close_sessions, send_calls
-from soak.faults import plan_faults, run_plan
+from soak.faults import plan_crowds, plan_faults, run_plan
 from soak.fleet import POLL_INTERVAL_S, Fleet, read_revision, start_fleet, stop_fleet
 from soak.promises import check_answers, check_hosts, check_recovery
 
@@ -36,6 +36,7 @@
     folder: Path,
     net: int,
     count: int = DEFAULT_HOST_COUNT,
+    crowds: bool = False,
 ) -> tuple[list[str], str]:
     """Run one seed.
 
@@ -45,6 +46,7 @@
         folder: Where the plan and the settings and output of the nodes are written.
         net: The second octet of all addresses; no other run may use it.
         count: The number of hosts.
+        crowds: Whether crowds of callers that don't behave play, too.
 
     Returns:
         The violated guarantees, and a line with the number of answers by status.
@@ -55,6 +57,8 @@
         await wait_until_serving(fleet)
         calling = asyncio.create_task(send_calls(callers))
         plan = plan_faults(seed, duration_s)
+        if crowds:
+            plan += plan_crowds(seed, duration_s)
         (folder / "plan.txt").write_text("\n".join(map(str, plan)) + "\n")
         await run_plan(fleet, plan)
         violations = await check_recovery(fleet, callers)
@@ -90,7 +94,9 @@
     return list(range(int(first), int(last or first) + 1))
 
 
-async def run_all(seeds: list[int], duration_s: float, jobs: int, count: int) -> int:
+async def run_all(
+    seeds: list[int], duration_s: float, jobs: int, count: int, crowds: bool = False
+) -> int:
     """Run seeds, ``jobs`` at a time; return how many violated a guarantee."""
     nets = find_free_networks(jobs)
     slots = asyncio.Semaphore(jobs)
@@ -102,7 +108,9 @@
             net = nets.pop(0)
             folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
             began_s = time.monotonic()
-            violations, summary = await run_seed(seed, duration_s, folder, net, count)
+            violations, summary = await run_seed(
+                seed, duration_s, folder, net, count, crowds
+            )
             nets.append(net)
             elapsed_s = time.monotonic() - began_s
             print(
@@ -127,9 +135,16 @@
     parser.add_argument("--duration-s", type=float, default=DURATION_S)
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--hosts", type=int, default=DEFAULT_HOST_COUNT)
+    parser.add_argument("--crowds", action="store_true")
     arguments = parser.parse_args()
     failed = asyncio.run(
-        run_all(arguments.seeds, arguments.duration_s, arguments.jobs, arguments.hosts)
+        run_all(
+            arguments.seeds,
+            arguments.duration_s,
+            arguments.jobs,
+            arguments.hosts,
+            arguments.crowds,
+        )
     )
     print(f"{len(arguments.seeds)} seeds, {failed} violated a guarantee")
     return 1 if failed else 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,11 +5,13 @@
 import asyncio
 import random
 import signal
+import sys
 import time
 from collections.abc import Awaitable, Callable
 
 import attrs
 
+from soak import addresses
 from soak.fleet import (
     Fleet,
     Host,
@@ -19,12 +21,17 @@
     write_revision,
 )
 from soak.proxy import Route, heal, reset
+from standins.crowd import SHAPES
 from standins.store import compact_history
 
 # The delay after which a node that was stopped or killed is started again.
 RESTART_DELAY_RANGE_S = (0.1, 1.5)
 STOP_TIMEOUT_S = 7.0
 MAX_LEAVE_ATTEMPTS = 20
+CROWD = "crowd"
+CROWD_INTERVAL_S = 5.0
+CROWD_SIZES = (20, 50, 100)
+CROWD_BODY_BYTES = (1_000, 60_000, 900_000)
 REPLACEMENT_DELAY_RANGE_S = (0.5, 2.0)
 
 Fault = Callable[[Fleet, random.Random, float], Awaitable[None]]
@@ -63,13 +70,31 @@
     return plan
 
 
+def plan_crowds(seed: int, duration_s: float) -> list[PlannedFault]:
+    """Return the crowds of callers that begin within a time.
+
+    They are planned apart, so that the faults of a seed stay the same.
+    """
+    generator = random.Random(f"crowds {seed}")
+    return [
+        PlannedFault(
+            generator.uniform(0.5, duration_s),
+            generator.uniform(1.0, 6.0),
+            CROWD,
+            generator.randrange(1 << 30),
+        )
+        for _ in range(max(round(duration_s / CROWD_INTERVAL_S), 1))
+    ]
+
+
 async def run_plan(fleet: Fleet, plan: list[PlannedFault]) -> None:
     """Inject the faults of a plan; return when all have ended."""
     began_s = time.monotonic()
 
     async def run(fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at_s - (time.monotonic() - began_s))
-        await FAULTS[fault.name](fleet, random.Random(fault.seed), fault.duration_s)
+        run_fault = _play_crowd if fault.name == CROWD else FAULTS[fault.name]
+        await run_fault(fleet, random.Random(fault.seed), fault.duration_s)
 
     await asyncio.gather(*(run(fault) for fault in plan))
 
@@ -194,6 +219,29 @@
     return interval
 
 
+async def _play_crowd(
+    fleet: Fleet, generator: random.Random, duration_s: float
+) -> None:
+    """Let callers that don't behave send one shape of input to a host."""
+    host = _choose_host(fleet, generator)
+    arguments = {
+        "address": f"{host.ip}:{addresses.CALLS_PORT}",
+        "shape": generator.choice(sorted(SHAPES)),
+        "callers": generator.choice(CROWD_SIZES),
+        "body-bytes": generator.choice(CROWD_BODY_BYTES),
+        "limit-s": duration_s,
+    }
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "standins.crowd",
+        *(f"--{name}={value}" for name, value in arguments.items()),
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    await process.wait()
+
+
 async def _store_fault(
     fleet: Fleet, generator: random.Random, duration_s: float
 ) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -61,6 +61,8 @@
     departed: list[tuple[float, int]] = attrs.field(factory=list)
     leaving: bool = False
     stop_timeouts: int = 0
+    # The most memory that the node's processes have had.
+    peak_memory_bytes: int = 0
     # For each answer of the node's metrics: its time, the start count and the revision.
     revisions: list[tuple[float, int, int]] = attrs.field(factory=list)
 
@@ -245,11 +247,22 @@
     while True:
         await asyncio.sleep(POLL_INTERVAL_S)
         start_count = host.start_count
+        host.peak_memory_bytes = max(host.peak_memory_bytes, _read_memory_bytes(host))
         revision = await read_revision(fleet, host)
         if revision and start_count == host.start_count:
             host.revisions.append((time.monotonic(), start_count, revision))
 
 
+def _read_memory_bytes(host: Host) -> int:
+    """Return the most memory that the node's process has had, 0 if it has ended."""
+    try:
+        status = Path(f"/proc/{host.process.pid}/status").read_text()
+    except OSError:
+        return 0
+    found = re.search(r"^VmHWM:\s+(\d+) kB", status, re.MULTILINE)
+    return int(found[1]) * 1024 if found else 0
+
+
 async def read_revision(fleet: Fleet, host: Host) -> int:
     """Return the revision in the metrics of a node, 0 where there is none."""
     try:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from agaterelay.core.deployment import DEFAULT_MEMORY_MB
 from soak.callers import CALL_KINDS, CALL_TIMEOUT_S, Answer, Callers, call
 from soak.fleet import Fleet, Host, read_revision
 
@@ -19,6 +20,8 @@
 # transit through the proxy.
 IN_TRANSIT_S = 1.0
 REQUIRED_SUCCESS_COUNT = 4
+# The settings name no limit, so the nodes plan with the default one.
+MEMORY_LIMIT_BYTES = DEFAULT_MEMORY_MB << 20
 RECOVERY_POLL_S = 0.2
 
 
@@ -54,6 +57,8 @@
 def check_hosts(fleet: Fleet) -> Iterator[str]:
     """Yield each violation of the guarantees to instances and operators."""
     for host in fleet.hosts:
+        if host.peak_memory_bytes > MEMORY_LIMIT_BYTES:
+            yield f"host {host.number} took {host.peak_memory_bytes >> 20} MB"
         for leave_s, born_ms in host.departed:
             late = [
                 call_id
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -16,6 +16,7 @@
 import json
 import random
 import sys
+import threading
 from collections import Counter
 from collections.abc import Callable, Iterator
 
@@ -206,13 +207,22 @@
 async def play(crowd: Crowd, callers: int, limit_s: float) -> None:
     """Play a crowd until the end of the standard input, or of the time."""
     tasks = [asyncio.create_task(_play_caller(crowd, n)) for n in range(callers)]
-    end = asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+    end = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def await_input_end() -> None:
+        sys.stdin.read()
+        with contextlib.suppress(RuntimeError):
+            loop.call_soon_threadsafe(end.set)
+
+    # A daemon, so that the program ends with the time also while its input is open.
+    threading.Thread(target=await_input_end, daemon=True).start()
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(limit_s):
             while len(crowd.begun) < callers:
                 await asyncio.sleep(0.05)
             print("ready", flush=True)
-            await asyncio.shield(end)
+            await end.wait()
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 from soak.__main__ import DURATION_S, run_seed
 from soak.addresses import find_free_networks
 from soak.callers import Answer
-from soak.faults import FAULTS, plan_faults
+from soak.faults import FAULTS, plan_crowds, plan_faults
 from soak.fleet import Fleet, Host
 from soak.promises import check_answers, check_hosts
 from standins.instance import Instance
@@ -24,6 +24,14 @@
     assert broken == []
 
 
+@pytest.mark.scenario
+def test_nothing_that_is_promised_breaks_beside_crowds(tmp_path):
+    (net,) = find_free_networks(1)
+    run = run_seed(1, SHORT_S, tmp_path, net, HOSTS, crowds=True)
+    broken, _ = asyncio.run(run)
+    assert broken == []
+
+
 @pytest.mark.scenario
 @pytest.mark.parametrize(
     "seed",
@@ -43,6 +51,7 @@
 
 def test_plans_depend_only_on_the_seed_and_cover_all_faults():
     assert plan_faults(7, 20.0) == plan_faults(7, 20.0)
+    assert plan_crowds(7, 20.0) == plan_crowds(7, 20.0)
     drawn = {fault.name for seed in range(50) for fault in plan_faults(seed, 20.0)}
     assert drawn == set(FAULTS)
 
@@ -103,7 +112,14 @@
     host.instance.started_calls.append((12.0, host.instance.born_ms, "late"))
     host.revisions = [(1.0, 1, 4), (2.0, 1, 3)]
     host.stop_timeouts = 1
+    host.peak_memory_bytes = 300 << 20
     host.instance.peak_running = host.instance.slots + 1
     found = "\n".join(check_hosts(fleet))
-    for words in ("first is late", "went back to revision 3", "did not stop", "slots"):
+    for words in (
+        "first is late",
+        "went back to revision 3",
+        "did not stop",
+        "300 MB",
+        "slots",
+    ):
         assert words in found
