Keep the body of a request that offers another protocol

Callers saw: 200 for requests that had run with an empty body, when they offered HTTP/2 with `Upgrade: h2c`, as the client of Java's standard library does.

Cause: the parser takes what follows such a head for the other protocol and reports the request as complete.

Change: the offer is ignored, as RFC 9110, section 7.8 asks: a second parser reads the body and what follows, from a head with just the framing of the body. A request without a body is answered and closes its connection, as before.

--- a/agaterelay/adapters/http_server.py
+++ b/agaterelay/adapters/http_server.py
@@ -19,7 +19,7 @@
 import os
 import socket
 from collections import OrderedDict, deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from http import HTTPStatus
 
 import attrs
@@ -229,6 +229,28 @@
     return head + response.body
 
 
+def render_body_head(headers: Iterable[tuple[bytes, bytes]], version: str) -> bytes:
+    """Return the head of a request with just the headers that say how its body ends.
+
+    Returns:
+        Empty if the headers announce no body.
+    """
+    framing = [
+        name + b": " + value
+        for name, value in headers
+        if name.lower() in (b"content-length", b"transfer-encoding")
+    ]
+    if not framing:
+        return b""
+    closes = any(
+        name.lower() == b"connection" and b"close" in value.lower()
+        for name, value in headers
+    )
+    first = f"POST / HTTP/{version}".encode()
+    lines = [first, *framing, *([b"Connection: close"] if closes else [])]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 def _do_nothing() -> None:
     pass
 
@@ -450,6 +472,9 @@
         self._head_bytes = 0
         self._unparsed_head_bytes = 0
         self._framing_bytes = self._framing_since_body_bytes = 0
+        # The method and version of a request whose body is read by another parser.
+        self._method, self._version = b"", ""
+        self._reads_body_anew = False
         self._in_head = True
         self._in_body = False
         self._began_in_segment = True
@@ -591,10 +616,7 @@
         self._began_in_segment = False
         body_bytes_before = len(self._body)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Other protocols are not served, and the parser reads no further.
-            self._reading_ended = self._shutting_down = True
+            self._feed_parser(data)
         except (httptools.HttpParserError, httptools.HttpParserCallbackError) as error:
             self._refuse(HTTPStatus.BAD_REQUEST, str(error) or "invalid request")
         if self._in_head and not self._began_in_segment:
@@ -613,6 +635,25 @@
         if self._in_head or self._in_body:
             self._set_timer()
 
+    def _feed_parser(self, data: bytes | memoryview) -> None:
+        """Parse bytes; a request that offers another protocol is read as plain HTTP.
+
+        Raises:
+            httptools.HttpParserError: They are no request.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            if not self._reads_body_anew:
+                # Other protocols are not served, and the parser reads no further.
+                self._reading_ended = self._shutting_down = True
+                return
+            # The parser stops behind the head, as if the body were of that protocol.
+            self._parser = httptools.HttpRequestParser(self)
+            self._parser.feed_data(render_body_head(self._headers, self._version))
+            self._reads_body_anew = False
+            self._parser.feed_data(memoryview(data)[upgrade.args[0] :])
+
     def _limit_framing(self, received_bytes: int, body_bytes: int) -> None:
         """Refuse a body whose chunks have more framing than any caller needs.
 
@@ -639,16 +680,18 @@
 
     def on_message_begin(self) -> None:
         """Start the next request."""
-        self._begin_request()
+        if not self._reads_body_anew:
+            self._begin_request()
 
     def on_url(self, part: bytes) -> None:
         """Append to the request target."""
-        self._target += part
+        if not self._reads_body_anew:
+            self._target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are dropped."""
         self._work += 1
-        if self._reading_ended or not self._in_head:
+        if self._reading_ended or not self._in_head or self._reads_body_anew:
             return
         self._headers.append((name, value))
         self._head_bytes += len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
@@ -669,8 +712,12 @@
         """Refuse a body that is declared too long, or ask for the body."""
         self._in_head = False
         self._in_body = True
-        if self._reading_ended:
+        if self._reading_ended or self._reads_body_anew:
             return
+        version = self._parser.get_http_version()
+        if self._parser.should_upgrade() and render_body_head(self._headers, version):
+            self._method, self._version = self._parser.get_method(), version
+            self._reads_body_anew = True
         length = find_header(tuple(self._headers), b"content-length")
         if length is not None and int(length) > self._limits.max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
@@ -726,19 +773,21 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
+        if self._reads_body_anew:
+            return
         self._work += REQUEST_WORK
         self._in_head = self._in_body = False
         if self._reading_ended:
             return
         is_long = len(self._body) > MAX_JOINED_BYTES
         request = HttpRequest(
-            method=self._parser.get_method().decode("ascii"),
+            method=(self._method or self._parser.get_method()).decode("ascii"),
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
             body=self._body if is_long else bytes(self._body),
             received_s=self._last_received_s,
             keep_alive=self._parser.should_keep_alive(),
-            version=self._parser.get_http_version(),
+            version=self._version or self._parser.get_http_version(),
             connection=self,
             holder=self._holder,
         )
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -604,3 +604,47 @@
         run(scenario)
     finally:
         gc.enable()
+
+
+UPGRADE = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+
+
+# Guards against requests that run with an empty body in place of their own.
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"Content-Length: 5\r\n\r\nabcde",
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("is_split", [False, True])
+def test_a_request_that_offers_another_protocol_keeps_its_body(body, is_split):
+    async def scenario():
+        async with serving(echo) as (_, connect):
+            reader, writer = await connect()
+            whole = b"POST /a HTTP/1.1\r\n" + UPGRADE.encode() + body + get("/b")
+            for part in (
+                [whole[i : i + 1] for i in range(len(whole))] if is_split else [whole]
+            ):
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0)
+            status, headers, received = await read_answer(reader)
+            assert (status, headers["x-target"], received) == (200, "/a", b"abcde")
+            assert (await read_answer(reader))[1]["x-target"] == "/b"
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("body_bytes", [11, 1 << 20])
+def test_a_body_over_the_limit_is_refused_also_with_an_offer_of_another_protocol(
+    body_bytes,
+):
+    async def scenario():
+        async with serving(echo, max_body_bytes=10) as (_, connect):
+            reader, writer = await connect()
+            head = f"POST /a HTTP/1.1\r\n{UPGRADE}Content-Length: {body_bytes}\r\n\r\n"
+            writer.write(head.encode() + b"abc")
+            assert (await read_answer(reader))[0] == 413
+
+    run(scenario)
