--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -156,6 +156,7 @@
     Attributes:
         begun: The callers that have sent their first piece, or were refused.
         answers: The answers by status, and the connections that ended without one.
+        has_ended: Whether no caller comes again.
     """
 
     address: str
@@ -163,6 +164,7 @@
     plan: Plan
     begun: set[int] = attrs.field(factory=set)
     answers: Counter[str] = attrs.field(factory=Counter)
+    has_ended: bool = False
 
 
 async def _read_statuses(crowd: Crowd, reader: asyncio.StreamReader) -> None:
@@ -186,7 +188,8 @@
 
 async def _play_caller(crowd: Crowd, number: int) -> None:
     host, port = crowd.address.rsplit(":", 1)
-    while True:
+    # A cancellation may come while that of the sender is awaited, and end only that.
+    while not crowd.has_ended:
         try:
             reader, writer = await asyncio.open_connection(host, int(port))
         except OSError:
@@ -223,6 +226,7 @@
                 await asyncio.sleep(0.05)
             print("ready", flush=True)
             await end.wait()
+    crowd.has_ended = True
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
