--- a/agaterelay/deployed.py
+++ b/agaterelay/deployed.py
@@ -16,22 +16,21 @@
 import attrs
 
 from agaterelay.adapters.clock import SystemClock
-from agaterelay.adapters.http_pool import HttpPool
-from agaterelay.adapters.http_server import (
-    MIN_READ_BYTES,
-    RECEIVE_BUFFER_BYTES,
+from agaterelay.adapters.http_messages import (
     HttpRequest,
     HttpResponse,
-    HttpServer,
     Refusal,
     find_header,
 )
+from agaterelay.adapters.http_pool import HttpPool
+from agaterelay.adapters.http_server import RECEIVE_BUFFER_BYTES, HttpServer
 from agaterelay.adapters.log import (
     LineSink,
     configure_log,
     make_recorder,
     record_library_warnings,
 )
+from agaterelay.adapters.server_connection import MIN_READ_BYTES
 from agaterelay.core.checked import DecodeError, check_name
 from agaterelay.core.cold_limit import assume_cold, is_limited
 from agaterelay.core.deployment import Deployment
--- a/agaterelay/mesh/callers.py
+++ b/agaterelay/mesh/callers.py
@@ -7,7 +7,7 @@
 
 import select
 
-from agaterelay.adapters.http_server import Holder, HttpRequest, RequestRoom
+from agaterelay.adapters.http_messages import Holder, HttpRequest, RequestRoom
 from agaterelay.core.memory_account import (
     find_stalled,
     finish_receiving,
--- a/agaterelay/mesh/node.py
+++ b/agaterelay/mesh/node.py
@@ -10,7 +10,8 @@
 
 import attrs
 
-from agaterelay.adapters.http_server import HttpRequest, HttpResponse, HttpServer
+from agaterelay.adapters.http_messages import HttpRequest, HttpResponse
+from agaterelay.adapters.http_server import HttpServer
 from agaterelay.core.announcement import UpstreamState
 from agaterelay.core.deployment import Bounds, Deployment
 from agaterelay.core.membership import Member
--- a/agaterelay/mesh/response_room.py
+++ b/agaterelay/mesh/response_room.py
@@ -9,7 +9,7 @@
 import attrs
 
 from agaterelay.adapters.frames import FrameConnection
-from agaterelay.adapters.http_server import ServerConnection
+from agaterelay.adapters.server_connection import ServerConnection
 from agaterelay.core.held_responses import (
     HeldResponses,
     find_slowest,
--- a/agaterelay/mesh/servers.py
+++ b/agaterelay/mesh/servers.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from agaterelay.adapters.http_server import HttpResponse, HttpServer
+from agaterelay.adapters.http_messages import HttpResponse
+from agaterelay.adapters.http_server import HttpServer
 from agaterelay.core.outcome import Answered, NotRun, Outcome, Unknown
 
 NOT_RUN_STATUS = 503
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -10,12 +10,9 @@
 
 import pytest
 
-from agaterelay.adapters.http_server import (
-    LINGERING_READ_S,
-    HttpResponse,
-    HttpServer,
-    RequestRoom,
-)
+from agaterelay.adapters.http_messages import HttpResponse, RequestRoom
+from agaterelay.adapters.http_server import HttpServer
+from agaterelay.adapters.server_connection import LINGERING_READ_S
 from agaterelay.core.memory_account import MemoryAccount, release, reserve
 from agaterelay.core.model import CallerLimits
 
