Count no refused request as being received

Found by reading: after a refusal half-way, what followed was still noted as progress of the request, whose room was released. Such an entry gave way in place of a request with room, and was counted as stalled.

Evidence: the changed test of a head of many lines failed before.

--- a/agaterelay/adapters/server_connection.py
+++ b/agaterelay/adapters/server_connection.py
@@ -237,7 +237,8 @@
             self._read_bytes = MIN_READ_BYTES
         elif len(data) >= self._read_bytes:
             self._read_bytes = min(2 * self._read_bytes, MAX_READ_BYTES)
-        if self._reserved_bytes and (self._in_head or self._in_body):
+        is_receiving = (self._in_head or self._in_body) and not self._reading_ended
+        if self._reserved_bytes and is_receiving:
             received_bytes = self._head_bytes + len(self._body)
             self._server.room.note_received(self._holder, received_bytes)
         now_s = self._loop.time()
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -13,7 +13,13 @@
 from agaterelay.adapters.http_messages import HttpResponse, RequestRoom
 from agaterelay.adapters.http_server import HttpServer
 from agaterelay.adapters.server_connection import LINGERING_READ_S
-from agaterelay.core.memory_account import MemoryAccount, release, reserve
+from agaterelay.core.memory_account import (
+    MemoryAccount,
+    finish_receiving,
+    note_received,
+    release,
+    reserve,
+)
 from agaterelay.core.model import CallerLimits
 
 TIMEOUT_S = 5.0
@@ -26,7 +32,10 @@
     server = HttpServer(handler, lambda: CallerLimits(**limits), refusals.append)
     if account is not None:
         server.room = RequestRoom(
-            functools.partial(reserve, account), functools.partial(release, account)
+            functools.partial(reserve, account),
+            functools.partial(release, account),
+            lambda holder, size_bytes: note_received(account, holder, size_bytes, 0.0),
+            functools.partial(finish_receiving, account),
         )
     server.refusals = refusals
     await server.listen("127.0.0.1:0")
@@ -477,6 +486,8 @@
             status, headers, _ = await read_answer(reader)
             assert (status, headers["retry-after"]) == (503, "1.000")
             assert account.used_bytes == 0
+            assert not account.receiving_small
+            assert not account.receiving_large
 
     run(scenario)
 
